--- a/decide/behaviour_test.go
+++ b/decide/behaviour_test.go
@@ -27,7 +27,7 @@
 	inTime   map[string]int
 	came     map[decide.RequestID]time.Duration
 	refused, failed,
-	asks, next, accused int
+	asks, next, accused, statusLines int
 }
 
 type rigEvent struct {
@@ -90,7 +90,11 @@
 		case decide.SetTimer:
 			r.due = append(r.due, rigEvent{r.now + a.After, decide.TimerFired{Token: a.Token}})
 		case decide.Log:
-			r.accused++
+			if strings.HasPrefix(a.Line, "server ") {
+				r.accused++
+			} else {
+				r.statusLines++ // of the whole node
+			}
 		case decide.Subscribe:
 			r.asks++
 			r.due = append(r.due, rigEvent{r.now + time.Second, decide.ListUpdate{Kind: decide.ListFailed}})
@@ -519,11 +523,14 @@
 		}
 		return 50 * time.Millisecond, decide.OK
 	}
-	r.accused = 0
+	r.accused, r.statusLines = 0, 0
 	r.run(60*time.Second, 100, "cheap")
 	if r.accused == 0 || r.accused > 13 {
 		t.Errorf("%d log lines in a minute about one server", r.accused)
 	}
+	if r.statusLines < 2*11 || r.statusLines > 2*13 {
+		t.Errorf("%d lines of status in some 60 s, want 2 every 5 s", r.statusLines)
+	}
 }
 
 func BenchmarkRequest(b *testing.B) {
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -47,6 +47,7 @@
 	subsetTime  = 2.0                    // s; a subset's server is tried so often: news before a trouble is old
 	subsetLeast = 8.0                    // servers; fewer leave no choice once a part of them is in trouble
 	rateMemory  = 10.0                   // s; smoothing of this node's arrivals: a subset is not to flutter
+	statusEvery = 5 * time.Second        // s; a line of counts and sizes: a day's log stays readable
 )
 
 // NextMode is the paper's hysteresis, at its exact edges.
@@ -80,7 +81,7 @@
 	timer := SetTimer{After: max(tickEvery, m.set.MinTick)} // the only timer in use
 	if !m.ticking {
 		m.ticking, m.periodAt, m.askWait, m.askAt = true, now, askFirst, now+m.jitter(askFirst)
-		m.startAt, m.size = now, subsetLeast
+		m.startAt, m.size, m.tally.since = now, subsetLeast, now
 		m.do(timer)
 	}
 	switch e := e.(type) {
@@ -376,6 +377,7 @@
 		return false
 	}
 	r.attempts = append(r.attempts, attempt{server: s, sent: m.now, mayRun: true})
+	m.tally.sent++
 	r.out++
 	s.n++
 	s.tokens--
@@ -392,8 +394,10 @@
 	wait := m.jitter(time.Duration(holdPart * float64(r.class.Aim)))
 	wait = min(wait, m.set.MaxHoldOff)
 	if !m.mayRefuse(r) {
+		m.tally.failed++
 		m.do(Fail{ID: r.id})
 	} else {
+		m.tally.refused++
 		m.do(Refuse{ID: r.id, HoldOff: wait})
 	}
 	m.close(r)
@@ -425,6 +429,7 @@
 	if t := m.tenants[e.Tenant]; t != nil && !t.within(m.now) {
 		r.priority = false // over its tenant's share a request is worth little
 	}
+	m.tally.arrived++
 	m.n2++
 	if r.priority {
 		m.n1, m.n2 = m.n1+1, m.n2-1
@@ -438,8 +443,12 @@
 		return
 	}
 	s, mode := m.pick(m.near, r)
-	if mode == Overloaded && (r.priority && m.random() < m.q1 || !r.priority && m.random() < m.q2) {
+	switch {
+	case s == nil:
+		m.tally.noServer++
+	case mode == Overloaded && (r.priority && m.random() < m.q1 || !r.priority && m.random() < m.q2):
 		s = nil
+		m.tally.shed++
 	}
 	if !m.send(r, s, r.deadline) {
 		m.finish(r)
@@ -480,6 +489,7 @@
 	a.ended, a.mayRun = true, e.Code != Full && e.Code != ConnectFailed && e.Code != Moot
 	r.out--
 	a.server.n--
+	m.tally.ended[e.Code]++
 	m.forget(a.server)
 	m.reported(a.server, e.Report)
 	m.judge(a.server, r, e)
@@ -521,8 +531,14 @@
 			m.accuse(s, "no answer")
 		}
 		if s.suspect {
+			m.tally.suspect++
 			continue
 		}
+		m.tally.byCount[s.mode]++
+		m.tally.byMode[m.modeOf(s)]++
+		if s.cold {
+			m.tally.cold++
+		}
 		if count++; m.modeOf(s) != Normal {
 			n, h := m.crowd(s)
 			fill += math.Min(1, math.Max(0, (n-h)/(highPart*h+1-h)))
@@ -543,6 +559,9 @@
 	if m.now-m.periodAt >= recompute {
 		m.recompute()
 	}
+	if m.now-m.tally.since >= statusEvery {
+		m.status()
+	}
 	m.ask()
 }
 
--- a/decide/state.go
+++ b/decide/state.go
@@ -65,6 +65,16 @@
 	at              Time
 }
 
+// tally counts what happened since the last status line, for the operators; no decision hangs on it.
+type tally struct {
+	since                          Time
+	arrived, sent, refused, failed int
+	noServer, shed                 int // first tries that no server was open to; that q1 or q2 dropped
+	ended                          [Moot + 1]int
+	byCount, byMode                [Blocking + 1]int // servers in each mode, summed over ticks: by own count; in force
+	suspect, cold                  int               // the same for suspects and cold ones
+}
+
 // Module decides for one node. It is not safe for concurrent use.
 type Module struct {
 	set                Settings
@@ -99,6 +109,7 @@
 	subscribed, asking bool
 	askAt, askedAt     Time
 	askWait            time.Duration
+	tally              tally
 }
 
 // New makes the module of a node that has just started.
@@ -164,6 +175,23 @@
 	}
 }
 
+// status logs the counts since the last time, and the sizes that the thresholds hang on now.
+func (m *Module) status() {
+	n, h := 0.0, 0.0
+	for _, s := range m.near {
+		sn, sh := m.crowd(s)
+		n, h = n+sn, h+sh
+	}
+	t, servers := &m.tally, math.Max(1, float64(len(m.near)))
+	m.do(Log{fmt.Sprintf("status arrived=%d sent=%d refused=%d failed=%d no_server=%d shed=%d ended=%v "+
+		"by_count=%v by_mode=%v suspect=%d cold=%d",
+		t.arrived, t.sent, t.refused, t.failed, t.noServer, t.shed, t.ended, t.byCount, t.byMode, t.suspect, t.cold)})
+	m.do(Log{fmt.Sprintf("sizes servers=%d/%d n=%.2f H=%.2f q1=%.2f q2=%.2f share=%.2f rate=%.2f peak=%.2f "+
+		"mean=%.3f base=%.3f aimed=%.3f least=%.3f",
+		len(m.near), len(m.list), n/servers, h/servers, m.q1, m.q2, m.share, m.fleetRate, m.peak, m.mean, m.base, m.aimed, m.least)})
+	m.tally = tally{since: m.now}
+}
+
 func decay(since time.Duration, tau float64) float64 { return math.Exp(-since.Seconds() / tau) }
 
 // mix spreads the bits of a number (splitmix64).
--- a/internal/node/admission.go
+++ b/internal/node/admission.go
@@ -21,6 +21,7 @@
 type admission struct {
 	*net.TCPListener
 	limit int
+	stats *stats
 
 	mu          sync.Mutex
 	count       int
@@ -41,7 +42,7 @@
 }
 
 func newAdmission(l *net.TCPListener, limit int) *admission {
-	return &admission{TCPListener: l, limit: limit, fresh: queue.New(), idle: queue.New()}
+	return &admission{TCPListener: l, limit: limit, stats: &stats{}, fresh: queue.New(), idle: queue.New()}
 }
 
 func (a *admission) Accept() (net.Conn, error) {
@@ -50,9 +51,11 @@
 		if err != nil {
 			return nil, err
 		}
+		a.stats.accepted.Add(1)
 		if c := a.admit(tcp); c != nil {
 			return c, nil
 		}
+		a.stats.turnedAway.Add(1)
 		tcp.SetWriteDeadline(time.Now().Add(refuseWait))
 		io.WriteString(tcp, refusal)
 		tcp.Close()
@@ -69,6 +72,7 @@
 		}
 		old.leave()
 		old.evicted = true
+		a.stats.evicted.Add(1)
 		a.mu.Unlock()
 		old.Close()
 		a.mu.Lock()
--- a/internal/node/backend.go
+++ b/internal/node/backend.go
@@ -47,6 +47,7 @@
 	connectTimeout time.Duration
 	idleLimit      time.Duration
 	log            *slog.Logger
+	stats          *stats
 }
 
 // host is one backend. The fields are under the lock of backends.
@@ -71,7 +72,7 @@
 	if idle <= 0 {
 		idle = time.Minute
 	}
-	return &backends{hosts: map[decide.ServerID]*host{}, limit: limit, log: log, largeLimit: int64(largePart * float64(c.Limits.MemoryMB<<20)),
+	return &backends{hosts: map[decide.ServerID]*host{}, limit: limit, log: log, stats: &stats{}, largeLimit: int64(largePart * float64(c.Limits.MemoryMB<<20)),
 		connectTimeout: c.Settings.ConnectTimeout, idleLimit: idle}
 }
 
@@ -137,6 +138,12 @@
 	b.open--
 }
 
+func (b *backends) held() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.open
+}
+
 func (b *backends) find(id decide.ServerID) *host {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -179,6 +186,7 @@
 			if b.usable(c) {
 				kept = append(kept, c)
 			} else {
+				b.stats.retired.Add(1)
 				b.drop(c)
 			}
 		}
@@ -236,6 +244,7 @@
 			b.mu.Unlock()
 			return c, nil
 		}
+		b.stats.retired.Add(1)
 		b.drop(c)
 	}
 	if h.dials >= max(2, b.limit/dialPart) || b.open >= b.limit && !b.evict() {
@@ -245,12 +254,14 @@
 	b.open++
 	h.dials++
 	b.mu.Unlock()
+	b.stats.dialled.Add(1)
 	d := net.Dialer{Timeout: b.connectTimeout, Deadline: deadline}
 	tcp, err := d.DialContext(ctx, "tcp", h.addr)
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	h.dials--
 	if err != nil {
+		b.stats.dialFailed.Add(1)
 		b.open--
 		return nil, err
 	}
--- a/internal/node/frontend.go
+++ b/internal/node/frontend.go
@@ -36,6 +36,7 @@
 type frontend struct {
 	loop      *loop
 	log       *slog.Logger
+	stats     *stats
 	classes   map[string]decide.Class
 	drainEnd  atomic.Pointer[time.Time] // set once the node is to end
 	closing   atomic.Bool               // it takes no more requests
@@ -46,7 +47,7 @@
 }
 
 func newFrontend(l *loop, maxBodies int64, log *slog.Logger) *frontend {
-	f := &frontend{loop: l, log: log, classes: map[string]decide.Class{}, maxOpen: math.MaxInt64, maxBodies: maxBodies}
+	f := &frontend{loop: l, log: log, stats: &stats{}, classes: map[string]decide.Class{}, maxOpen: math.MaxInt64, maxBodies: maxBodies}
 	if m := l.settings.MaxOpen; m > 0 {
 		f.maxOpen = int64(m)
 	}
@@ -78,12 +79,12 @@
 	}
 	settings, known := f.classes[class]
 	if !known {
-		reject(w, http.StatusNotFound, "no such path")
+		f.reject(w, http.StatusNotFound, "no such path")
 		return
 	}
 	patience, status, fault := check(r, settings)
 	if fault != "" {
-		reject(w, status, fault)
+		f.reject(w, status, fault)
 		return
 	}
 	defer f.bodies.Add(-r.ContentLength)
@@ -95,7 +96,7 @@
 	}
 	body, status, fault := readBody(w, r)
 	if fault != "" {
-		reject(w, status, fault)
+		f.reject(w, status, fault)
 		return
 	}
 	if c := r.Context().Value(connKey{}).(*clientConn); c.lost() {
@@ -106,6 +107,7 @@
 		f.write(w, answer{status: http.StatusServiceUnavailable, holdOff: busyHoldOff})
 		return
 	}
+	f.stats.requests.Add(1)
 	req := newRequest(r, class, patience, body)
 	if end := f.drainEnd.Load(); end != nil && req.deadline.After(*end) {
 		req.deadline = *end
@@ -122,9 +124,11 @@
 	case <-r.Context().Done():
 		// It has closed its connection, or its own direction only: then it is told that nothing comes.
 		f.loop.post(func() { f.loop.abandon(req) })
+		f.stats.gone.Add(1)
 		reject(w, http.StatusBadRequest, "the client has closed")
 	case <-late.C:
 		f.loop.post(func() { f.loop.abandon(req) })
+		f.stats.overdue.Add(1)
 		f.log.Warn("overdue", "id", req.arrived.ID)
 		f.write(w, answer{status: http.StatusGatewayTimeout})
 	case <-f.loop.ctx.Done():
@@ -132,6 +136,11 @@
 	}
 }
 
+func (f *frontend) reject(w http.ResponseWriter, status int, fault string) {
+	f.stats.rejected.Add(1)
+	reject(w, status, fault)
+}
+
 // reject answers what is no request. Where one ends on its connection is in doubt, so nothing more is read there.
 func reject(w http.ResponseWriter, status int, fault string) {
 	w.Header().Set("Connection", "close")
@@ -236,6 +245,7 @@
 
 // write sends the final answer. It is the only one: each request comes here once.
 func (f *frontend) write(w http.ResponseWriter, a answer) {
+	f.stats.answered(a.status)
 	h := w.Header()
 	if a.header != nil {
 		closing := h["Connection"]
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -267,6 +267,7 @@
 	t.cancel()
 	t.neverRan = res.code == decide.Full || res.code == decide.ConnectFailed || res.code == decide.Moot
 	r.out--
+	l.backends.stats.outcomes[res.code].Add(1)
 	switch {
 	case r.over:
 	case res.code == decide.OK:
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -52,6 +52,8 @@
 	l := newLoop(inner, c, b, newDiscovery(c.Discovery, log), p, log)
 	f := newFrontend(l, int64(bodyPart*float64(c.Limits.MemoryMB<<20)), log)
 	door := newAdmission(tcp, clients)
+	count := &stats{}
+	b.stats, f.stats, door.stats = count, count, count
 	srv := f.server(door)
 
 	var running sync.WaitGroup
@@ -63,6 +65,7 @@
 	}
 	served := make(chan error, 1)
 	running.Go(func() { served <- srv.Serve(door) })
+	running.Go(func() { count.report(inner, door, b, log) })
 	running.Go(func() { l.reload(inner, c, reload) })
 	log.Info("serving", "name", c.Name, "listen", tcp.Addr(), "sockets", c.Limits.Sockets)
 
--- /dev/null
+++ b/internal/node/stats.go
@@ -0,0 +1,63 @@
+package node
+
+import (
+	"context"
+	"log/slog"
+	"sync/atomic"
+	"time"
+
+	"starlingvalve/decide"
+)
+
+const statsEvery = 5 * time.Second // a line of counts: enough to tell a bad stretch from a good one
+
+// stats counts what passes through the sockets, for the operators; nothing is decided by it. All but the gauges in
+// line begin anew with each line.
+type stats struct {
+	accepted, turnedAway, evicted atomic.Int64 // clients' connections
+	requests, rejected            atomic.Int64 // taken from clients; answered without the module
+	served, refused, failed       atomic.Int64 // final answers
+	gone, overdue                 atomic.Int64 // clients that left; requests that the module left open
+	dialled, dialFailed           atomic.Int64 // connections to backends
+	retired                       atomic.Int64 // those of them that were found unfit when idle
+	outcomes                      [decide.Moot + 1]atomic.Int64
+}
+
+// answered counts a final answer by its status.
+func (s *stats) answered(status int) {
+	switch status {
+	case 200:
+		s.served.Add(1)
+	case 429, 503:
+		s.refused.Add(1)
+	default:
+		s.failed.Add(1)
+	}
+}
+
+// attrs takes the counts and sets them back.
+func (s *stats) attrs() []slog.Attr {
+	take := func(name string, n *atomic.Int64) slog.Attr { return slog.Int64(name, n.Swap(0)) }
+	var ended [decide.Moot + 1]int64
+	for i := range s.outcomes {
+		ended[i] = s.outcomes[i].Swap(0)
+	}
+	return []slog.Attr{take("accepted", &s.accepted), take("turned_away", &s.turnedAway), take("evicted", &s.evicted),
+		take("requests", &s.requests), take("rejected", &s.rejected), take("served", &s.served), take("refused", &s.refused),
+		take("failed", &s.failed), take("gone", &s.gone), take("overdue", &s.overdue), take("dialled", &s.dialled),
+		take("dial_failed", &s.dialFailed), take("retired", &s.retired), slog.Any("ended", ended)}
+}
+
+// report logs the counts now and then until ctx ends, and once more then.
+func (s *stats) report(ctx context.Context, door *admission, b *backends, log *slog.Logger) {
+	tick := time.NewTicker(statsEvery)
+	defer tick.Stop()
+	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+		case <-tick.C:
+		}
+		attrs := append(s.attrs(), slog.Int("clients", door.held()), slog.Int("backend_conns", b.held()))
+		log.LogAttrs(context.WithoutCancel(ctx), slog.LevelInfo, "sockets", attrs...)
+	}
+}
