Draw H from a server's capacity by its reports, not from the rate let through to it

Servers stood overloaded at n=4.4 with no queue: by Little's law, H from the admitted rate is just the count in flight, so it never grew. The admitted rate over the reported util is what the server could do.

All tests pass; the new one fails without the change.

--- a/decide/behaviour_test.go
+++ b/decide/behaviour_test.go
@@ -23,7 +23,8 @@
 	retries  int           // of a refused client, after its hold-off
 	patience time.Duration // of a first try
 	work     func(decide.RequestID) time.Duration
-	waits    []time.Duration // that refused clients were told
+	report   func(s decide.ServerID) *decide.Report // nil: servers tell nothing
+	waits    []time.Duration                        // that refused clients were told
 	inTime   map[string]int
 	came     map[decide.RequestID]time.Duration
 	refused, failed,
@@ -71,7 +72,11 @@
 			if d > a.Timeout {
 				d, code = a.Timeout, decide.TimedOut
 			}
-			r.due = append(r.due, rigEvent{r.now + d, decide.AttemptEnded{ID: a.ID, Attempt: leg, Server: a.Server, Code: code, Elapsed: d}})
+			end := decide.AttemptEnded{ID: a.ID, Attempt: leg, Server: a.Server, Code: code, Elapsed: d}
+			if r.report != nil {
+				end.Report = r.report(a.Server)
+			}
+			r.due = append(r.due, rigEvent{r.now + d, end})
 		case decide.CancelAttempt:
 			r.due = append(r.due, rigEvent{r.now + time.Millisecond, decide.AttemptEnded{ID: a.ID, Attempt: a.Attempt, Code: decide.Cancelled}})
 		case decide.Refuse:
@@ -257,6 +262,35 @@
 }
 
 // Overload sheds the cheap class first, and a server list that is empty or drains wholly refuses at once.
+func TestIdleServersAreNotOverloaded(t *testing.T) {
+	for _, c := range []struct {
+		name      string
+		took      time.Duration // of any answer, however many are out: nothing queues
+		busy      float64
+		wantsShed bool
+	}{
+		{"idle, answers long beside the aim", 400 * time.Millisecond, 0.25, false},
+		{"idle, answers short", 50 * time.Millisecond, 0.25, false},
+		{"cores all busy", 400 * time.Millisecond, 1, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			r := newRig(t, rigSettings(), 4)
+			r.delay = func(decide.ServerID) (time.Duration, decide.OutcomeCode) { return c.took, decide.OK }
+			r.report = func(decide.ServerID) *decide.Report { return &decide.Report{Utilisation: c.busy} }
+			r.run(5*time.Second, 20, "dear") // it learns what an answer takes
+			for rate := 40.0; rate < 200; rate *= 1.5 {
+				r.run(2*time.Second, rate, "dear")
+			}
+			r.reset()
+			r.run(10*time.Second, 200, "dear")
+			r.run(10*time.Second, 200, "cheap")
+			if shed := r.refused > 0; shed != c.wantsShed {
+				t.Errorf("%d of 4000 requests refused by servers whose cores are %.0f%% busy", r.refused, 100*c.busy)
+			}
+		})
+	}
+}
+
 func TestOverloadShedsByWorth(t *testing.T) {
 	r := newRig(t, rigSettings(), 3)
 	busy := map[decide.ServerID]time.Duration{}
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -30,6 +30,7 @@
 	leastWindow = 2.0                    // requests of all nodes at a server, at least, learned or not
 	coldStart   = 4.0                    // 1/s, of all nodes to a cold server with no warm one to compare
 	anchor      = 0.3                    // part of H drawn from the fleet: own noise must not starve a server
+	leastUtil   = 0.1                    // of a server's cores: a report of less says little of what it could do
 	rateTau     = 3.0                    // s; smoothing of a server's rate of answers
 	staleTau    = 3.0                    // s; a latency that is not renewed drifts to the fleet's mean
 	memoryTau   = 600.0                  // s; to forget peak rates and uncrowded latency: longer than troubles
@@ -109,10 +110,10 @@
 
 // survey renews what the thresholds need of the whole fleet.
 func (m *Module) survey() {
-	rate, count, own, all := 0.0, 0.0, 0.0, 0.0
+	rate, count, capacity, own, all := 0.0, 0.0, 0.0, 0.0, 0.0
 	for _, s := range m.near {
 		if !s.suspect && !s.cold {
-			rate, count = rate+m.rateOf(s), count+1
+			rate, count, capacity = rate+m.rateOf(s), count+1, capacity+m.capacityOf(s)
 		}
 		if s.report > 0 && m.now-s.reportAt < 2*validity {
 			own, all = own+s.n, all+s.report
@@ -121,13 +122,15 @@
 	if all > 0 {
 		m.share += (own/all - m.share) * tickEvery.Seconds() / rateTau
 	}
-	m.fleetRate, m.evenRate = rate/math.Max(1, count), rate/float64(max(1, len(m.near)))
+	m.fleetRate, m.evenRate = capacity/math.Max(1, count), rate/float64(max(1, len(m.near)))
 	m.learned = rate > 0 && m.answers >= 2*float64(len(m.near))
 	grow := 1 + tickEvery.Seconds()/memoryTau
 	if m.least *= grow; m.least == 0 || m.answers >= 1/classGain && m.mean < m.least*(1-baseNoise) {
 		m.least = m.mean / (1 - baseNoise) // the least of a noisy mean is below its true value
 	}
-	if m.peak /= grow; m.learned {
+	if m.peak /= grow; capacity > rate {
+		m.peak = 0 // servers tell how busy they are: what they once did says less
+	} else if m.learned {
 		m.peak = math.Max(m.peak, m.fleetRate)
 	}
 	m.aimed, m.base = math.Inf(1), m.mean
@@ -154,9 +157,9 @@
 	if !m.learned {
 		return 2 * leastWindow / float64(m.set.Nodes)
 	}
-	rate := (1-anchor)*m.rateOf(s) + anchor*m.fleetRate*math.Min(1, m.mean/m.latencyOf(s))
+	rate := (1-anchor)*m.capacityOf(s) + anchor*m.fleetRate*math.Min(1, m.mean/m.latencyOf(s))
 	want := math.Min(math.Max(queueFactor*m.base, math.Min(roomyFactor*m.base, roomyPart*m.aimed)), m.aimed)
-	h := rate * math.Max(m.base*m.peak/m.fleetRate, want*math.Min(3, want/m.mean))
+	h := rate * math.Max(m.base*math.Max(1, m.peak/m.fleetRate), want*math.Min(3, want/m.mean))
 	return math.Max(h, leastWindow/float64(m.set.Nodes))
 }
 
@@ -199,6 +202,13 @@
 // reported lets a server's own account of its load, which is late and counts every node's requests, impose a
 // mode until it lapses. The thresholds are this node's, scaled by its share of all that servers report.
 func (m *Module) reported(s *server, r *Report) {
+	if r != nil && r.Utilisation > 0 {
+		gain := 1 - decay(m.now-s.utilAt, rateTau) // as the rate, for their quotient
+		if s.util == 0 {
+			gain = 1
+		}
+		s.util, s.utilAt = s.util+gain*(math.Min(r.Utilisation, 1)-s.util), m.now
+	}
 	if r == nil || !r.HasInFlight || !(r.InFlight >= 0) { // not a number either
 		return
 	}
@@ -250,6 +260,15 @@
 	return s.rate * decay(m.now-s.rateAt, rateTau) / (1 - decay(m.now-s.since+tickEvery, rateTau))
 }
 
+// capacityOf is the rate at which a server would answer this node with all its cores busy. What it answers
+// now is only what was let through to it: thresholds drawn from that hold a server where it is, however idle.
+func (m *Module) capacityOf(s *server) float64 {
+	if s.util == 0 || m.now-s.utilAt > 2*validity {
+		return m.rateOf(s)
+	}
+	return m.rateOf(s) / math.Max(s.util, leastUtil)
+}
+
 // latencyOf lets a value that is not renewed drift to the fleet's mean, so that the server is tried again.
 func (m *Module) latencyOf(s *server) float64 {
 	return m.mean + s.excess*decay(m.now-s.latencyAt, staleTau)
--- a/decide/state.go
+++ b/decide/state.go
@@ -25,6 +25,8 @@
 	dither              float64 // in [0,1), drawn each period
 	excess, rate        float64 // s, smoothed latency of a mean request over m.mean; own answers each second, smoothed
 	latencyAt, rateAt   Time
+	util                float64 // part of its cores that are busy, by its reports, smoothed; 0: never told
+	utilAt              Time
 	since, reportAt     Time // first listed; last report
 	strikes, unanswered int  // failures since the last success; sends since the last answer
 	muteSince           Time // the first of those sends
@@ -96,7 +98,7 @@
 	size               float64 // servers that the subset is to have
 	arrivedAt, startAt Time
 	choices            int     // of subsets, so far
-	fleetRate, peak    float64 // answers each second from the mean server; the most that this has been
+	fleetRate, peak    float64 // answers each second that the mean server is able to; the most that this has been
 	recent             float64 // s; a faster mean
 	answeredAt         Time
 	least              float64 // s; the least that mean has been
