--- a/internal/node/backend.go
+++ b/internal/node/backend.go
@@ -65,6 +65,8 @@
 	r     *bufio.Reader
 	left  *io.LimitedReader // under r: what may still come on one answer
 	since time.Time         // made, or idle since
+	made  time.Time
+	uses  int // requests that were written to it
 }
 
 func newBackends(c *Config, limit int, log *slog.Logger) *backends {
@@ -266,7 +268,8 @@
 		return nil, err
 	}
 	left := &io.LimitedReader{R: tcp}
-	return &conn{Conn: tcp, r: bufio.NewReader(left), left: left, since: time.Now()}, nil
+	now := time.Now()
+	return &conn{Conn: tcp, r: bufio.NewReader(left), left: left, since: now, made: now}, nil
 }
 
 // evict makes room at the bound by closing the connection that has been idle longest.
@@ -326,6 +329,12 @@
 	writeBy  time.Time // if set, nothing is written from then on
 }
 
+// connFacts tell what an exchange's connection had been through by the time that the request was written.
+type connFacts struct {
+	uses      int
+	age, idle time.Duration
+}
+
 // result is how an exchange ended.
 type result struct {
 	code   decide.OutcomeCode
@@ -334,6 +343,7 @@
 	body   []byte
 	client int // the status of an answer that puts the fault with the client
 	err    error
+	conn   connFacts
 }
 
 // do makes an exchange and blocks until it is over. An end of ctx calls it off.
@@ -369,10 +379,13 @@
 		b.release(h, c, true)
 		return result{code: decide.ConnectFailed, err: os.ErrDeadlineExceeded}
 	}
+	facts := connFacts{c.uses, now.Sub(c.made), now.Sub(c.since)}
+	c.uses++
 	c.SetDeadline(x.deadline)
 	stop := context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) })
 	r, keep := b.roundTrip(c, x)
 	stopped := stop()
+	r.conn = facts
 	switch {
 	case r.err == nil:
 		b.mu.Lock()
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -23,6 +23,7 @@
 	// windowMargin is kept from the end of the time in which backends remember a key.
 	windowMargin = 100 * time.Millisecond
 	eventQueue   = 1024
+	faultEvery   = 200 * time.Millisecond // a failed attempt is told no more often: one server alone may have hundreds
 )
 
 // request is a client's request as the front end has read it.
@@ -81,6 +82,7 @@
 	version   *uint64 // of the list; nil if discovery has moved and not told it yet
 	endWatch  context.CancelFunc
 	watchOpen bool // the watch has had its first answer
+	toldFault time.Time
 }
 
 func newLoop(ctx context.Context, c *Config, b *backends, d *discovery, p *peers, log *slog.Logger) *loop {
@@ -277,8 +279,12 @@
 		r.answer <- answer{status: res.client}
 		r.over = true
 	}
-	if res.err != nil {
-		l.log.Debug("attempt", "id", a.ID, "server", a.Server, "code", res.code, "err", res.err)
+	if res.code == decide.Reset || res.code == decide.ConnectFailed || res.code == decide.ServerError {
+		if now := time.Now(); now.Sub(l.toldFault) >= faultEvery {
+			l.toldFault = now
+			l.log.Info("attempt", "server", a.Server, "code", res.code, "took", now.Sub(t.sent), "conn_uses", res.conn.uses,
+				"conn_age", res.conn.age, "conn_idle", res.conn.idle, "err", res.err)
+		}
 	}
 	if r.over && r.out == 0 {
 		delete(l.requests, a.ID)
