--- a/decide/decide.go
+++ b/decide/decide.go
@@ -22,7 +22,7 @@
 	roomyPart   = 0.6                    // of the delay that aims allow: where that is long, so may queues be,
 	roomyFactor = 4.0                    // up to this multiple of the uncrowded latency
 	baseNoise   = 0.15                   // by how much chance alone takes a class's mean under its true value
-	lowPart     = 0.5                    // L as a part of H: the hysteresis
+	lowPart     = 0.9                    // L as a part of H: over ordinary load, or chance keeps servers out
 	highPart    = 2.0                    // R as a multiple of H: room for priority work
 	reportSlack = 1.25                   // on thresholds for reports, which lag and come on top of own counts
 	reportCap   = 1000.0                 // requests; no server holds more to any use
