--- a/decide/decide.go
+++ b/decide/decide.go
@@ -128,7 +128,9 @@
 	if all > 0 {
 		m.share += (own/all - m.share) * tickEvery.Seconds() / rateTau
 	}
-	m.fleetRate, m.evenRate = capacity/math.Max(1, count), rate/float64(max(1, len(m.near)))
+	if count > 0 { // with none warm, what the last ones could do still holds
+		m.fleetRate = capacity / count
+	}
 	m.learned = rate > 0 && m.answers >= 2*float64(len(m.near))
 	grow := 1 + tickEvery.Seconds()/memoryTau
 	if m.least *= grow; m.least == 0 || m.answers >= 1/classGain && m.mean < m.least*(1-baseNoise) {
@@ -269,10 +271,14 @@
 // capacityOf is the rate at which a server would answer this node with all its cores busy. What it answers
 // now is only what was let through to it: thresholds drawn from that hold a server where it is, however idle.
 func (m *Module) capacityOf(s *server) float64 {
-	if s.util == 0 || m.now-s.utilAt > 2*validity {
-		return m.rateOf(s)
+	rate := m.rateOf(s)
+	if s.util > 0 && m.now-s.utilAt <= 2*validity {
+		rate /= math.Max(s.util, leastUtil)
+	}
+	if s.cold { // it has hardly answered yet
+		rate = math.Max(rate, m.warmth(s)*m.fleetRate)
 	}
-	return m.rateOf(s) / math.Max(s.util, leastUtil)
+	return rate
 }
 
 // latencyOf lets a value that is not renewed drift to the fleet's mean, so that the server is tried again.
@@ -403,16 +409,25 @@
 	s.cold, s.coldSince, s.tokens, s.tokensAt, s.rate = true, at, m.random(), m.now, 0
 }
 
-// paced tells whether a cold server's budget is spent. It is refilled with the part that the server can do
-// by now of what each server of the subset would get of this node's answers: the budgets of all nodes then
-// sum up to a part of one server's capacity. Nodes that do not have it in their subsets send nothing.
-func (m *Module) paced(s *server) bool {
+// warmth is the part of its full capacity that a server has by now, at least.
+func (m *Module) warmth(s *server) float64 {
 	warm := (m.now - s.coldSince).Seconds() / math.Max(m.set.ColdTime.Seconds(), 1e-9)
 	if s.cold = s.cold && warm < 1; !s.cold {
+		return 1
+	}
+	return m.set.ColdFrom + (1-m.set.ColdFrom)*math.Max(0, warm)
+}
+
+// paced tells whether a cold server's budget is spent. It is refilled with the part that the server can do by
+// now of this node's share of a warm one's capacity: the budgets of all nodes then sum up to what it can do.
+// What the warm ones answer just now would be too little: a release that makes most servers cold cuts it,
+// and with it the budgets. Nodes that do not have it in their subsets send nothing.
+func (m *Module) paced(s *server) bool {
+	part := m.warmth(s)
+	if !s.cold {
 		return false
 	}
-	part := m.set.ColdFrom + (1-m.set.ColdFrom)*math.Max(0, warm)
-	rate := part * math.Max(m.evenRate, coldStart/float64(m.set.Nodes))
+	rate := part * math.Max(m.fleetRate, coldStart/float64(m.set.Nodes))
 	s.tokens, s.tokensAt = math.Min(2, s.tokens+rate*(m.now-s.tokensAt).Seconds()), m.now
 	return s.tokens < 1 || s.chosen < m.choices
 }
--- a/decide/state.go
+++ b/decide/state.go
@@ -113,7 +113,6 @@
 	failing            float64 // part of the attempts after an answer of the same server that fail, smoothed
 	answeredAt         Time
 	least              float64 // s; the least that mean has been
-	evenRate           float64 // the same spread over the whole subset, suspects and cold ones too
 	share              float64 // this node's part of all requests at servers
 	n1, n2, q1, q2     float64 // priority and other arrivals of this period; drop probabilities
 	fill, ticks        float64 // sum of how far the fleet was above H, over this period's ticks
--- a/decide/threshold_test.go
+++ b/decide/threshold_test.go
@@ -1,39 +1,80 @@
 package decide
 
 import (
+	"fmt"
+	"sort"
 	"testing"
 	"time"
 )
 
-// ordinary gives a module that has learned two servers at so much of their capacity, by steady answers and reports.
-func ordinary(busy float64) (m *Module, now Time) {
-	const took = 200 * time.Millisecond
-	s := Settings{Nodes: 1, MaxAttempts: 1, MinTick: 5 * time.Millisecond,
+// flow feeds a module 200 requests a second. A server holds 8 requests with its cores just busy, fewer while it is
+// cold; with more it takes longer.
+type flow struct {
+	m       *Module
+	now     Time
+	due     []flowEnd
+	sent    map[ServerID]int
+	out     map[ServerID]float64
+	started map[ServerID]Time
+	next    int
+}
+
+type flowEnd struct {
+	at Time
+	e  AttemptEnded
+}
+
+const (
+	flowTook = 200 * time.Millisecond
+	flowFull = 8.0
+	flowRate = flowFull / 0.2 // requests a second that one server can do
+)
+
+func newFlow(servers int) *flow {
+	s := Settings{Nodes: 1, MaxAttempts: 1, MinTick: 5 * time.Millisecond, ColdFrom: 0.2, ColdTime: 20 * time.Second,
 		Classes: []Class{{Name: "c", Worth: 1, Aim: 400 * time.Millisecond, Deadline: time.Second, Effect: Safe}}}
-	m, now = New(s, 1), time.Hour
-	m.Handle(now, ListUpdate{Kind: ListCached, Entries: []Server{{ID: 1}, {ID: 2}}})
-	type out struct {
-		at Time
-		e  AttemptEnded
+	f := &flow{m: New(s, 1), now: time.Hour, sent: map[ServerID]int{}, out: map[ServerID]float64{},
+		started: map[ServerID]Time{}}
+	l := ListUpdate{Kind: ListCached}
+	for i := range servers {
+		l.Entries = append(l.Entries, Server{ID: ServerID(i + 1)})
+	}
+	f.m.Handle(f.now, l)
+	return f
+}
+
+// full is how many requests keep a server's cores just busy.
+func (f *flow) full(id ServerID) float64 {
+	if at, ok := f.started[id]; ok {
+		return flowFull * min(1, 0.2+0.8*(f.now-at).Seconds()/20)
 	}
-	var due []out
-	for i, end := 0, now+30*time.Second; now < end; now += 5 * time.Millisecond {
-		for len(due) > 0 && due[0].at <= now {
-			m.Handle(now, due[0].e)
-			due = due[1:]
+	return flowFull
+}
+
+// run plays some time.
+func (f *flow) run(length time.Duration) {
+	for end := f.now + length; f.now < end; f.now += 5 * time.Millisecond {
+		sort.SliceStable(f.due, func(i, j int) bool { return f.due[i].at < f.due[j].at })
+		for len(f.due) > 0 && f.due[0].at <= f.now {
+			e := f.due[0].e
+			e.Report = &Report{Utilisation: min(1, f.out[e.Server]/f.full(e.Server))}
+			f.out[e.Server]--
+			f.due = f.due[1:]
+			f.m.Handle(f.now, e)
 		}
-		id := RequestID(rune(i))
-		for _, a := range m.Handle(now, RequestArrived{ID: id, Class: "c", Patience: time.Second}) {
+		id := RequestID(fmt.Sprint(f.next))
+		for _, a := range f.m.Handle(f.now, RequestArrived{ID: id, Class: "c", Patience: time.Second}) {
 			if a, ok := a.(Send); ok {
-				due = append(due, out{now + took, AttemptEnded{ID: id, Server: a.Server, Over: true, Elapsed: took,
-					Report: &Report{Utilisation: busy}}})
+				f.sent[a.Server]++
+				f.out[a.Server]++
+				took := time.Duration(float64(flowTook) * max(1, f.out[a.Server]/f.full(a.Server)))
+				f.due = append(f.due, flowEnd{f.now + took, AttemptEnded{ID: id, Server: a.Server, Over: true, Elapsed: took}})
 			}
 		}
-		if i++; i%5 == 0 {
-			m.Handle(now, TimerFired{})
+		if f.next++; f.next%5 == 0 {
+			f.m.Handle(f.now, TimerFired{})
 		}
 	}
-	return m, now
 }
 
 // A server that chance took over H is let in again at the load that it has in ordinary work.
@@ -42,9 +83,10 @@
 		part float64 // of what a server holds with all its cores just busy
 		want Mode
 	}{{0.6, Normal}, {0.8, Normal}, {1.5, Overloaded}} {
-		m, now := ordinary(0.8)
-		m.now = now
-		s := m.near[0]
+		f := newFlow(6)
+		f.run(30 * time.Second)
+		m, s := f.m, f.m.near[0]
+		m.now = f.now
 		s.mode, s.dither = Overloaded, 0.5
 		s.n = c.part * m.capacityOf(s) * m.base
 		if got := m.modeOf(s); got != c.want {
@@ -53,3 +95,25 @@
 		}
 	}
 }
+
+// Cold servers get what they can do at least, also when most are cold and the warm ones refuse; and no more than
+// that by much, whatever is asked for.
+func TestColdServersAreUsed(t *testing.T) {
+	f := newFlow(6)
+	f.run(30 * time.Second)
+	cold := ListUpdate{Kind: ListChanges, Version: 1}
+	for id := ServerID(1); id <= 4; id++ {
+		cold.Entries = append(cold.Entries, Server{ID: id, StartedAt: f.now})
+		f.started[id] = f.now
+	}
+	f.m.Handle(f.now, cold)
+	clear(f.sent)
+	const length = 10.0
+	f.run(length * time.Second)
+	can := flowRate * length * (0.2 + 0.8*length/2/20) // it warms evenly from 0.2 within 20 s
+	for id := ServerID(1); id <= 4; id++ {
+		if got := float64(f.sent[id]); got < can/2 || got > 1.3*can {
+			t.Errorf("cold server %d had %.0f requests in 10 s, it can do %.0f", id, got, can)
+		}
+	}
+}
