Take no capacity from a server's reports in its first 3 s: they tell of idle time

The mean server was said to do 189 to 267 requests a second where 75 is true, and cold servers' budgets hang on that mean.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -31,6 +31,7 @@
 	coldStart   = 4.0                    // 1/s, of all nodes to a cold server with no warm one to compare
 	anchor      = 0.3                    // part of H drawn from the fleet: own noise must not starve a server
 	leastUtil   = 0.1                    // of a server's cores: a report of less says little of what it could do
+	unseasoned  = 3 * time.Second        // s; after a start: reports are late, and means take a while to hold
 	rateTau     = 3.0                    // s; smoothing of a server's rate of answers
 	staleTau    = 3.0                    // s; a latency that is not renewed drifts to the fleet's mean
 	memoryTau   = 600.0                  // s; to forget peak rates and uncrowded latency: longer than troubles
@@ -116,10 +117,13 @@
 
 // survey renews what the thresholds need of the whole fleet.
 func (m *Module) survey() {
-	rate, count, capacity, own, all := 0.0, 0.0, 0.0, 0.0, 0.0
+	rate, count, capacity, tried, able, own, all := 0.0, 0.0, 0.0, 0.0, 0.0, 0.0, 0.0
 	for _, s := range m.near {
 		if !s.suspect && !s.cold {
 			rate, count, capacity = rate+m.rateOf(s), count+1, capacity+m.capacityOf(s)
+			if m.seasoned(s) {
+				tried, able = tried+1, able+m.capacityOf(s)
+			}
 		}
 		if s.report > 0 && m.now-s.reportAt < 2*validity {
 			own, all = own+s.n, all+s.report
@@ -128,9 +132,12 @@
 	if all > 0 {
 		m.share += (own/all - m.share) * tickEvery.Seconds() / rateTau
 	}
-	if count > 0 { // with none warm, what the last ones could do still holds
+	if tried > 0 {
+		m.fleetRate = able / tried
+	} else if count > 0 && !m.settled { // with none warm, what the last ones could do still holds
 		m.fleetRate = capacity / count
 	}
+	m.settled = m.settled || tried > 0
 	m.learned = rate > 0 && m.answers >= 2*float64(len(m.near))
 	grow := 1 + tickEvery.Seconds()/memoryTau
 	if m.least *= grow; m.least == 0 || m.answers >= 1/classGain && m.mean < m.least*(1-baseNoise) {
@@ -211,11 +218,8 @@
 // mode until it lapses. The thresholds are this node's, scaled by its share of all that servers report.
 func (m *Module) reported(s *server, r *Report) {
 	if r != nil && r.Utilisation > 0 {
-		gain := 1 - decay(m.now-s.utilAt, rateTau) // as the rate, for their quotient
-		if s.util == 0 {
-			gain = 1
-		}
-		s.util, s.utilAt = s.util+gain*(math.Min(r.Utilisation, 1)-s.util), m.now
+		gone := decay(m.now-s.utilAt, rateTau) // as of the rate, for their quotient
+		s.util, s.utilAt = s.util*gone+(1-gone)*math.Min(r.Utilisation, 1), m.now
 	}
 	if r == nil || !r.HasInFlight || !(r.InFlight >= 0) { // not a number either
 		return
@@ -273,14 +277,23 @@
 func (m *Module) capacityOf(s *server) float64 {
 	rate := m.rateOf(s)
 	if s.util > 0 && m.now-s.utilAt <= 2*validity {
-		rate /= math.Max(s.util, leastUtil)
+		rate /= math.Max(m.utilOf(s), leastUtil)
 	}
-	if s.cold { // it has hardly answered yet
-		rate = math.Max(rate, m.warmth(s)*m.fleetRate)
+	if m.settled && !m.seasoned(s) {
+		rate = m.warmth(s) * m.fleetRate
 	}
 	return rate
 }
 
+// seasoned tells whether a server's reports can be of the load that it has now. The first ones, late as they
+// are, tell of a process that had none: taken at their word, it could do ten times what it does.
+func (m *Module) seasoned(s *server) bool { return m.now-s.since > unseasoned }
+
+// utilOf is unbiased as rateOf is, and over the same time: its first reports tell of a server's idle time.
+func (m *Module) utilOf(s *server) float64 {
+	return s.util / (1 - decay(s.utilAt-s.since+tickEvery, rateTau))
+}
+
 // latencyOf lets a value that is not renewed drift to the fleet's mean, so that the server is tried again.
 func (m *Module) latencyOf(s *server) float64 {
 	return m.mean + s.excess*decay(m.now-s.latencyAt, staleTau)
@@ -406,7 +419,8 @@
 // startCold gives a cold server's budget a random beginning: a first request from every node at once would be
 // a burst that none of them sees. What an older process answered says nothing of this one.
 func (m *Module) startCold(s *server, at Time) {
-	s.cold, s.coldSince, s.tokens, s.tokensAt, s.rate = true, at, m.random(), m.now, 0
+	s.cold, s.coldSince, s.tokens, s.tokensAt = true, at, m.random(), m.now
+	s.rate, s.util, s.rateAt, s.utilAt, s.since = 0, 0, m.now, m.now, m.now
 }
 
 // warmth is the part of its full capacity that a server has by now, at least.
--- a/decide/state.go
+++ b/decide/state.go
@@ -27,9 +27,9 @@
 	excess, rate        float64 // s, smoothed latency of a mean request over m.mean; own answers each second, smoothed
 	latencyAt, rateAt   Time
 	faults              []fault // by class
-	util                float64 // part of its cores that are busy, by its reports, smoothed; 0: never told
+	util                float64 // part of its cores that are busy, by its reports, smoothed from 0; 0: never told
 	utilAt              Time
-	since, reportAt     Time // first listed; last report
+	since, reportAt     Time // first listed or last started; last report
 	strikes, unanswered int  // failures since the last success; sends since the last answer
 	muteSince           Time // the first of those sends
 	suspect, cold       bool
@@ -102,6 +102,7 @@
 	requests           map[RequestID]*request
 	open               []*request // in order of arrival
 	ticking, learned   bool
+	settled            bool // some server has been known for long enough to tell what it can do
 	answers            float64
 	mean, base, aimed  float64 // s: smoothed latency; uncrowded; at which every class still meets its aim
 	arrivals, rate     float64 // requests that come each second, smoothed; the same, unbiased from the first one on
@@ -165,7 +166,7 @@
 
 func (m *Module) serverOf(id ServerID) *server {
 	if m.known[id] == nil {
-		m.known[id] = &server{since: m.now, faults: make([]fault, len(m.order)), quietUntil: m.now, place: mix(uint64(id) * 0x9e3779b97f4a7c15)}
+		m.known[id] = &server{since: m.now, utilAt: m.now, faults: make([]fault, len(m.order)), quietUntil: m.now, place: mix(uint64(id) * 0x9e3779b97f4a7c15)}
 	}
 	return m.known[id]
 }
@@ -206,7 +207,7 @@
 	var fleet strings.Builder
 	for _, s := range m.near {
 		_, h := m.crowd(s)
-		fmt.Fprintf(&fleet, " %d:n=%.0f,H=%.0f,rate=%.0f,util=%.2f,told=%.0f,latency=%.3f,mode=%d", s.ID, s.n, h, m.rateOf(s), s.util, s.report,
+		fmt.Fprintf(&fleet, " %d:n=%.0f,H=%.0f,rate=%.0f,util=%.2f,told=%.0f,latency=%.3f,mode=%d", s.ID, s.n, h, m.rateOf(s), m.utilOf(s), s.report,
 			m.latencyOf(s), s.mode)
 		if s.suspect {
 			fleet.WriteString(",suspect")
--- a/decide/threshold_test.go
+++ b/decide/threshold_test.go
@@ -16,6 +16,7 @@
 	sent    map[ServerID]int
 	out     map[ServerID]float64
 	started map[ServerID]Time
+	late    Time // until then reports of server 7 tell of none of its load
 	next    int
 }
 
@@ -58,6 +59,9 @@
 		for len(f.due) > 0 && f.due[0].at <= f.now {
 			e := f.due[0].e
 			e.Report = &Report{Utilisation: min(1, f.out[e.Server]/f.full(e.Server))}
+			if e.Server == 7 && f.now < f.late {
+				e.Report.Utilisation = 0.01
+			}
 			f.out[e.Server]--
 			f.due = f.due[1:]
 			f.m.Handle(f.now, e)
@@ -117,3 +121,24 @@
 		}
 	}
 }
+
+// What a new server's first reports say is late: it tells of a process that had no load yet.
+func TestFirstReportsAreOfIdleTime(t *testing.T) {
+	f := newFlow(6)
+	f.run(30 * time.Second)
+	f.m.Handle(f.now, ListUpdate{Kind: ListChanges, Version: 1, Entries: []Server{{ID: 7}}})
+	f.late = f.now + time.Second
+	for range 8 {
+		f.run(500 * time.Millisecond)
+		s := f.m.known[7]
+		if s.rate == 0 {
+			t.Fatal("the new server has no requests")
+		}
+		if got := f.m.capacityOf(s); got > 2*flowRate {
+			t.Errorf("%v after its start it is said to do %.0f requests a second, it can do %.0f", f.now-s.since, got, flowRate)
+		}
+		if got := f.m.fleetRate; got > 1.5*flowRate {
+			t.Errorf("%v after its start the mean server is said to do %.0f requests a second, it can do %.0f", f.now-s.since, got, flowRate)
+		}
+	}
+}
