--- a/internal/node/backend.go
+++ b/internal/node/backend.go
@@ -46,6 +46,7 @@
 	largeLimit     int64
 	connectTimeout time.Duration
 	idleLimit      time.Duration
+	idle           idleRecord
 	log            *slog.Logger
 	stats          *stats
 }
@@ -201,7 +202,8 @@
 // backend has closed would succeed, and then leave open whether the request ran.
 func (b *backends) usable(c *conn) bool {
 	text, open := c.behind()
-	return time.Since(c.since) < b.idleLimit && open && text == ""
+	now := time.Now()
+	return now.Sub(c.since) < b.idle.limit(now, b.idleLimit) && open && text == ""
 }
 
 // behind gives the beginning of what has come on a connection beyond the answer that was read, and tells whether
@@ -386,6 +388,11 @@
 	r, keep := b.roundTrip(c, x)
 	stopped := stop()
 	r.conn = facts
+	if facts.uses > 0 && (r.err == nil || r.code == decide.Reset && ctx.Err() == nil) {
+		b.mu.Lock()
+		b.idle.note(time.Now(), facts.idle, r.err != nil && c.left.N == headLimit)
+		b.mu.Unlock()
+	}
 	switch {
 	case r.err == nil:
 		b.mu.Lock()
--- /dev/null
+++ b/internal/node/idle_test.go
@@ -0,0 +1,76 @@
+package node
+
+import (
+	"bufio"
+	"math/rand/v2"
+	"net"
+	"testing"
+	"time"
+)
+
+func TestIdleLimitIsLearnt(t *testing.T) {
+	const most = 4 * time.Second
+	for _, c := range []struct {
+		name   string
+		broken func(chance float64, idle time.Duration) bool
+		least  time.Duration // of the limit
+		want   time.Duration // at most
+	}{
+		{"none break", func(float64, time.Duration) bool { return false }, most, most},
+		{"a tenth breaks, whatever the idle time", func(chance float64, _ time.Duration) bool { return chance < 0.1 }, most, most},
+		{"all break from 150 ms on", func(_ float64, idle time.Duration) bool { return idle > 150*time.Millisecond },
+			90 * time.Millisecond, 182 * time.Millisecond},
+		{"half break from 150 ms on, else a tenth", func(chance float64, idle time.Duration) bool {
+			return chance < 0.1 || idle > 150*time.Millisecond && chance < 0.5
+		}, 90 * time.Millisecond, 182 * time.Millisecond},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			var r idleRecord
+			random := rand.New(rand.NewPCG(1, 2))
+			now := time.Unix(1000, 0)
+			r.at = now
+			for i := range 1000 { // most are idle for a short time only
+				idle := time.Duration(1+i%100) * time.Millisecond
+				if i/100%2 == 0 {
+					idle *= 5
+				}
+				now = now.Add(3 * time.Millisecond)
+				r.note(now, idle, c.broken(random.Float64(), idle))
+			}
+			if got := r.limit(now, most); got < c.least || got > c.want {
+				t.Errorf("limit %v, want %v to %v", got, c.least, c.want)
+			}
+			if got := r.limit(now.Add(time.Minute), most); got != most {
+				t.Errorf("a minute later the limit is %v still, want %v: longer times are to be tried again", got, most)
+			}
+		})
+	}
+}
+
+// A connection that has been idle for longer than others lately survived takes no request.
+func TestConnectionIdleForTooLongIsNotUsed(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	tcp, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer tcp.Close()
+	b := &backends{idleLimit: time.Hour}
+	old := &conn{Conn: tcp, r: bufio.NewReader(tcp), since: time.Now().Add(-time.Minute)}
+	if !b.usable(old) {
+		t.Error("a connection that is open and within the limit of the settings is said not to be usable")
+	}
+	for range 10 {
+		b.idle.note(time.Now(), 30*time.Second, true)
+	}
+	if b.usable(old) {
+		t.Error("a connection that has been idle for longer than those that broke is said to be usable")
+	}
+	if fresh := (&conn{Conn: tcp, r: bufio.NewReader(tcp), since: time.Now()}); !b.usable(fresh) {
+		t.Error("a connection that has just been used is said not to be usable")
+	}
+}
