--- a/decide/decide.go
+++ b/decide/decide.go
@@ -442,6 +442,9 @@
 		return false
 	}
 	rate := part * math.Max(m.fleetRate, coldStart/float64(m.set.Nodes))
+	if m.seasoned(s) { // it has told by now what it can do itself; the warm ones may be few, and slow
+		rate = math.Max(rate, m.capacityOf(s))
+	}
 	s.tokens, s.tokensAt = math.Min(2, s.tokens+rate*(m.now-s.tokensAt).Seconds()), m.now
 	return s.tokens < 1 || s.chosen < m.choices
 }
--- a/decide/threshold_test.go
+++ b/decide/threshold_test.go
@@ -142,3 +142,23 @@
 		}
 	}
 }
+
+// A node that starts amid a release has no warm server to go by: what the cold ones report has to do.
+func TestAllColdAreUsedAsTheyWarm(t *testing.T) {
+	f := newFlow(6)
+	l := ListUpdate{Kind: ListFull, Version: 1}
+	for id := ServerID(1); id <= 6; id++ {
+		l.Entries = append(l.Entries, Server{ID: id, StartedAt: f.now})
+		f.started[id] = f.now
+	}
+	f.m.Handle(f.now, l)
+	f.run(10 * time.Second)
+	clear(f.sent)
+	f.run(5 * time.Second)
+	can := 5 * flowRate * (0.2 + 0.8*12.5/20)
+	for id := ServerID(1); id <= 6; id++ {
+		if got := float64(f.sent[id]); got < can/2 || got > 1.3*can {
+			t.Errorf("server %d had %.0f requests from 10 s to 15 s after its start, it can do %.0f", id, got, can)
+		}
+	}
+}
