--- a/decide/decide.go
+++ b/decide/decide.go
@@ -30,6 +30,7 @@
 	leastWindow = 2.0                    // requests of all nodes at a server, at least, learned or not
 	coldStart   = 4.0                    // 1/s, of all nodes to a cold server with no warm one to compare
 	anchor      = 0.3                    // part of H drawn from the fleet: own noise must not starve a server
+	leastShare  = 0.25                   // of an even part of all nodes' requests: what is less is noise
 	leastUtil   = 0.1                    // of a server's cores: a report of less says little of what it could do
 	unseasoned  = 3 * time.Second        // s; after a start: reports are late, and means take a while to hold
 	rateTau     = 3.0                    // s; smoothing of a server's rate of answers
@@ -277,7 +278,9 @@
 func (m *Module) capacityOf(s *server) float64 {
 	rate := m.rateOf(s)
 	if s.util > 0 && m.now-s.utilAt <= 2*validity {
-		rate /= math.Max(m.utilOf(s), leastUtil)
+		// Cores are busy for all nodes. One that has just started does little of that yet, and by its own rate
+		// alone would keep to that little: its part of the capacity is an even one at least.
+		rate /= math.Max(m.utilOf(s), leastUtil) * math.Min(1, math.Max(m.share*float64(m.set.Nodes), leastShare))
 	}
 	if m.settled && !m.seasoned(s) {
 		rate = m.warmth(s) * m.fleetRate
--- a/decide/threshold_test.go
+++ b/decide/threshold_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"sort"
 	"testing"
 	"time"
@@ -162,3 +163,20 @@
 		}
 	}
 }
+
+// One of two nodes that has so far sent a small part of the requests counts half of what servers can do as its own:
+// their cores are busy with the other's.
+func TestSmallShareKeepsNoNodeSmall(t *testing.T) {
+	for _, c := range []struct{ share, want float64 }{{0.5, 0.5}, {0.25, 0.5}, {0.8, 0.8}} {
+		s := Settings{Nodes: 2, MaxAttempts: 1, Classes: []Class{{Name: "c", Worth: 1, Aim: time.Second, Effect: Safe}}}
+		m := New(s, 1)
+		m.Handle(time.Hour, ListUpdate{Kind: ListCached, Entries: []Server{{ID: 1}}})
+		const total = 100.0 // requests a second that the server can do; half of that is asked of it
+		sv := m.known[1]
+		m.now, m.share = time.Hour+time.Minute, c.share
+		sv.rate, sv.rateAt, sv.util, sv.utilAt = c.share*total/2, m.now, 0.5, m.now
+		if got := m.capacityOf(sv); math.Abs(got-c.want*total) > 1 {
+			t.Errorf("with %.2f of all requests the node counts %.0f of the server's %.0f as its own, want %.0f", c.share, got, total, c.want*total)
+		}
+	}
+}
