--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -23,6 +23,7 @@
 	// windowMargin is kept from the end of the time in which backends remember a key.
 	windowMargin = 100 * time.Millisecond
 	eventQueue   = 1024
+	faultText    = 200                    // bytes of a failed attempt's error in the log
 	faultEvery   = 200 * time.Millisecond // a failed attempt is told no more often: one server alone may have hundreds
 )
 
@@ -283,7 +284,7 @@
 		if now := time.Now(); now.Sub(l.toldFault) >= faultEvery {
 			l.toldFault = now
 			l.log.Info("attempt", "server", a.Server, "code", res.code, "took", now.Sub(t.sent), "conn_uses", res.conn.uses,
-				"conn_age", res.conn.age, "conn_idle", res.conn.idle, "err", res.err)
+				"conn_age", res.conn.age, "conn_idle", res.conn.idle, "err", clip(res.err))
 		}
 	}
 	if r.over && r.out == 0 {
@@ -293,6 +294,15 @@
 		Code: res.code, Report: res.report})
 }
 
+// clip bounds what a fault puts into the log: it may quote what a peer sent.
+func clip(err error) string {
+	if err == nil {
+		return ""
+	}
+	text := err.Error()
+	return text[:min(len(text), faultText)]
+}
+
 // heard takes a datagram from another node.
 func (l *loop) heard(from int, data []byte) {
 	l.post(func() { l.handle(decide.MessageReceived{From: from, Data: data}) })
