Compare a reported load with what servers hold when busy, not with a queue of two

At 5 s a server held 9.6 requests at a utilisation of 0.52, so some 18.6 with its cores just busy, and yet H was 1 to 2 and 8,686 of 13,787 servers in the nodes' subsets were blocking. Typical: sizes servers=41/200 n=3.99 H=1.52 q1=0.68 q2=1.00 share=0.00 rate=0.36 ... mean=0.294 base=0.294 aimed=0.272 fleet:n=0,H=2,rate=0,util=0.72,told=12,latency=0.274,mode=2 ... Ruled out: lack of servers (utilisation 0.52), processor time (at most 0.07 s in a second), descriptors (316 of 512).

Lines at fault: decide.go, crowd: at a sparse node, which every node of a large fleet is, n was the count of all nodes' requests that a server reports, but H was sparseQueue, a number of requests ahead of one's own. One node is rarely sparse; 300 always are, and all of them passed over all servers but those of which they had no late news.

Now H is what the mean server holds with its cores just busy, by its reports of held requests and utilisation, with the part taken off that Little's law shows to be a queue. Where these aren't reported, n and H are by delay, as before.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -174,14 +174,28 @@
 		return 2 * leastWindow / float64(m.set.Nodes)
 	}
 	rate := (1-anchor)*m.capacityOf(s) + anchor*m.fleetRate*math.Min(1, m.mean/m.latencyOf(s))
-	want := math.Min(math.Max(queueFactor*m.base, math.Min(roomyFactor*m.base, roomyPart*m.aimed)), m.aimed)
+	want := m.wanted()
 	h := rate * math.Max(m.base*math.Max(1, m.peak/m.fleetRate), want*math.Min(3, want/m.mean))
 	return math.Max(h, leastWindow/float64(m.set.Nodes))
 }
 
+// wanted is the mean latency, with queues, that aims leave room for.
+func (m *Module) wanted() float64 {
+	return math.Min(math.Max(queueFactor*m.base, math.Min(roomyFactor*m.base, roomyPart*m.aimed)), m.aimed)
+}
+
+// full is what the mean server holds for all nodes with its cores just busy, by its reports; 0: not known.
+func (m *Module) full() float64 {
+	if m.busy < leastUtil {
+		return 0
+	}
+	return m.held / m.busy
+}
+
 // crowd gives n and H of a server. H is rounded up or down by chance: its mean over nodes is kept. A sparse
 // node sends a server less than one request in a validity, and its own count tells nothing: there n is the
-// requests that a server reports, or those ahead of one's own by its delay in uncrowded ones; it lapses.
+// requests that a server reports, against what servers hold with their cores just busy; or, where they do not
+// tell that, those ahead of one's own by its delay in uncrowded ones. It lapses.
 func (m *Module) crowd(s *server) (n, h float64) {
 	if !m.sparse() {
 		return s.n, math.Floor(m.high(s) + s.dither)
@@ -189,12 +203,14 @@
 	if m.least == 0 || m.aimed == 0 {
 		return s.n, 1
 	}
+	if full := m.full(); full > 0 {
+		h = full * math.Max(1, math.Min(queueFactor, m.wanted()/m.base))
+		return math.Max(s.n, s.report*decay(m.now-s.reportAt, staleTau)), math.Max(1, h)
+	}
 	aimed := m.aimed * sparsePart / aimPart
 	unit := math.Min(m.least, aimed) // a node that starts in a jam takes that for its least
 	l := m.recent + s.excess*decay(m.now-s.latencyAt, staleTau)
-	if n = (l/unit - 1) * decay(m.now-m.answeredAt, staleTau); s.report > 0 {
-		n = s.report * decay(m.now-s.reportAt, staleTau)
-	}
+	n = (l/unit - 1) * decay(m.now-m.answeredAt, staleTau)
 	if s.unanswered > 0 && s.n > 0 { // an attempt that is still out has taken at least as long as it has been
 		n = math.Max(n, (m.now-s.muteSince).Seconds()/unit-1)
 	}
@@ -226,6 +242,12 @@
 		return
 	}
 	s.report, s.reportAt = math.Min(r.InFlight, reportCap), m.now // a huge one would block too long
+	if m.base > 0 && m.seasoned(s) && !s.cold && r.Utilisation >= leastUtil {
+		// By Little's law a server holds the more, the longer its answers take: that part is a queue.
+		gone := decay(m.now-m.heldAt, rateTau)
+		m.held = m.held*gone + s.report*math.Min(1, m.base/m.latencyOf(s))
+		m.busy, m.heldAt = m.busy*gone+math.Min(r.Utilisation, 1), m.now
+	}
 	if m.sparse() {
 		return
 	}
--- a/decide/state.go
+++ b/decide/state.go
@@ -115,6 +115,8 @@
 	answeredAt         Time
 	least              float64 // s; the least that mean has been
 	share              float64 // this node's part of all requests at servers
+	held, busy         float64 // sums of what servers reported to hold, but for queues, and of how busy they were, fading
+	heldAt             Time
 	n1, n2, q1, q2     float64 // priority and other arrivals of this period; drop probabilities
 	fill, ticks        float64 // sum of how far the fleet was above H, over this period's ticks
 	worth, top         float64 // of the mean request; of the class with the most
@@ -202,8 +204,8 @@
 		"by_count=%v by_mode=%v suspect=%d cold=%d",
 		t.arrived, t.sent, t.refused, t.failed, t.noServer, t.shed, t.ended, t.byCount, t.byMode, t.suspect, t.cold)})
 	m.do(Log{fmt.Sprintf("sizes servers=%d/%d n=%.2f H=%.2f q1=%.2f q2=%.2f share=%.2f rate=%.2f peak=%.2f "+
-		"failing=%.3f mean=%.3f base=%.3f aimed=%.3f least=%.3f",
-		len(m.near), len(m.list), n/servers, h/servers, m.q1, m.q2, m.share, m.fleetRate, m.peak, m.failing, m.mean, m.base, m.aimed, m.least)})
+		"failing=%.3f mean=%.3f base=%.3f aimed=%.3f least=%.3f full=%.1f",
+		len(m.near), len(m.list), n/servers, h/servers, m.q1, m.q2, m.share, m.fleetRate, m.peak, m.failing, m.mean, m.base, m.aimed, m.least, m.full())})
 	var fleet strings.Builder
 	for _, s := range m.near {
 		_, h := m.crowd(s)
