Ask discovery for changes, not for the whole list, when SIGHUP moves it

Ruled out: restarts (a node that starts watches from the version of its known list, and had no 503 before the first move), retries in step (the waits before them are jittered and double).

Lines at fault: loop.go, move, which forgot the list's version. For one node a whole list is nothing; for 300 it is more than discovery has time for. As discovery is one service for all nodes, its versions go on at the new address: the node asks what is new since the one it has. Should an answer's version be older than that, it fetches the whole list.

--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -158,6 +158,9 @@
 			}
 			l, err = d.call(ctx, fmt.Sprintf("?since=%d&timeout_ms=%d", version, wait.Milliseconds()), wait+slack)
 		}
+		if err == nil && !l.full && l.version < version { // it counts anew: changes since another count's version are none
+			l, err = d.fetch(ctx)
+		}
 		if err != nil {
 			return err
 		}
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -80,7 +80,7 @@
 	queue     []decide.Event
 	handling  bool
 	ready     map[decide.ServerID]bool
-	version   *uint64 // of the list; nil if discovery has moved and not told it yet
+	version   *uint64 // of the list
 	endWatch  context.CancelFunc
 	watchOpen bool // the watch has had its first answer
 	toldFault time.Time
@@ -385,8 +385,9 @@
 	}
 }
 
-// move has discovery asked at another address, for the whole list at once: its versions need not go on from those
-// that the old one gave. A watch at the old address may hang, and would be taken for one that is kept.
+// move has discovery asked at another address, at once, for what has changed: it is one service for all nodes, they
+// all move together, and a whole list for each of them is more than it has time for. A watch at the old address may
+// hang, and would be taken for one that is kept.
 func (l *loop) move(to netip.AddrPort) {
 	if to == l.disco.addr {
 		return
@@ -394,7 +395,7 @@
 	l.log.Info("discovery moves", "to", to)
 	l.unwatch()
 	l.disco.client.CloseIdleConnections()
-	l.disco, l.version = newDiscovery(to, l.log), nil
+	l.disco = newDiscovery(to, l.log)
 	if l.settings.AskForList {
 		l.subscribe(true)
 	} else {
