Give trials of suspects an ordinary answer's time, and make few of them

Checked: how long those attempts had: a third of the aim, 240 ms, while the mean answer takes 270 ms uncrowded. These are trials, which go before the ordinary path. Ruled out: clients that give up early (those attempts show 1.09 s and 2.18 s).

Lines at fault: decide.go, arrive: the trial's time, so that a healthy suspect is not cleared and the server's work is wasted; and nothing bounds the trials. One node has a suspect or two; 300 nodes in a jam have 15 to 30 each, and their trials doubled the load. A trial now has the time of an ordinary answer and costs what other further attempts do.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -591,16 +591,7 @@
 		m.n1, m.n2 = m.n1+1, m.n2-1
 	}
 	m.budget = math.Min(retryBurst, m.budget+retryBudget)
-	// A trial leaves time for a second attempt, also where all is slow: or no suspect would be tried again.
-	wait := time.Duration(muteFactor * m.mean * c.relative * float64(time.Second))
-	if s := m.dueTrial(r); s != nil && !s.suspect {
-		if m.send(r, s, c.Aim/2) {
-			s.faultOf(c).trialAt = m.now + m.jitter(trialFirst)
-			return
-		}
-	} else if m.send(r, s, min(max(m.set.ConnectTimeout, wait), c.Aim/3)) {
-		s.trialWait = min(2*s.trialWait, trialLast)
-		r.trial, s.trialAt = true, m.now+m.jitter(s.trialWait)
+	if m.trial(r) {
 		return
 	}
 	s, mode := m.pick(m.near, r)
@@ -616,6 +607,29 @@
 	}
 }
 
+// trial sends a request to a suspect, or to a server that loses its class, whose turn it is. It has the time
+// of an ordinary answer, or a healthy suspect stays one, and leaves as much for another if the aim allows.
+// Trials are further attempts as others are: each node of many has many suspects once all is slow.
+func (m *Module) trial(r *request) bool {
+	s, c := m.dueTrial(r), r.class
+	if s == nil || m.budget < 2 {
+		return false
+	}
+	expected := time.Duration(m.mean * c.relative * float64(time.Second))
+	second := max(c.Aim/2, c.Aim-expected)
+	switch {
+	case !s.suspect && m.send(r, s, second):
+		s.faultOf(c).trialAt = m.now + m.jitter(trialFirst)
+	case s.suspect && m.send(r, s, min(max(m.set.ConnectTimeout, muteFactor*expected), second)):
+		s.trialWait = min(2*s.trialWait, trialLast)
+		r.trial, s.trialAt = true, m.now+m.jitter(s.trialWait)
+	default:
+		return false
+	}
+	m.budget--
+	return true
+}
+
 // pick is the ordinary path: two random normal servers, else overloaded ones; the lower expected delay wins.
 func (m *Module) pick(list []*server, r *request) (*server, Mode) {
 	var pools [2][]*server
--- a/decide/many_test.go
+++ b/decide/many_test.go
@@ -207,3 +207,32 @@
 		t.Errorf("mode %v 10 s later", mode)
 	}
 }
+
+// Suspects are tried again with requests that a healthy one answers in time, and with a small part of all requests, however
+// many suspects there are: in a jam each of many nodes has many, and trials of them all would keep it up.
+func TestTrialsAreFewAndLongEnough(t *testing.T) {
+	const arrivals = 200
+	const took = 250 * time.Millisecond // of an aim of 600 ms
+	m := New(sparseSettings(600), 3)
+	m.Handle(time.Hour, sparseList(40))
+	_, now := drive(m, time.Hour, 20, took, &Report{InFlight: 10, HasInFlight: true, Utilisation: 0.5})
+	for _, s := range m.known {
+		m.accuse(s, "test")
+	}
+	sent := 0
+	for i := range arrivals {
+		now += 50 * time.Millisecond
+		id := RequestID(fmt.Sprint("trial", i))
+		for _, a := range m.Handle(now, RequestArrived{ID: id, Class: "cheap", Patience: time.Second}) {
+			if a, ok := a.(Send); ok {
+				if sent++; a.Timeout < took*5/4 {
+					t.Fatalf("a trial has %v, an ordinary answer takes %v", a.Timeout, took)
+				}
+				m.Handle(now, AttemptEnded{ID: id, Server: a.Server, Code: TimedOut, Elapsed: a.Timeout})
+			}
+		}
+	}
+	if most := int(arrivals*retryBudget + retryBurst); sent == 0 || sent > most {
+		t.Errorf("%d of %d requests went to suspects, %d at most are to", sent, arrivals, most)
+	}
+}
