Keep subsets small enough that each server is heard of once a validity

Ruled out: time-outs as the reason (none in that period), the idle record (it gives 3.75 s).

Lines at fault: decide.go, subsetTime, 2 s, while what a server tells holds for one validity, 1 s. Harmless in one node; 300 of them pay the handshakes and each goes by old news. And sparse: with subsets that follow the rate a node could flip between its own count and reports; a node that uses a part of the servers has a part of their requests.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -54,7 +54,8 @@
 	retryBurst  = 10.0                   // attempts; what the budget may save up
 	holdPart    = 0.15                   // part of the aim a refused client is told to wait, jittered
 	askFirst    = 200 * time.Millisecond // s; wait before a list is asked for again; doubles
-	subsetTime  = 2.0                    // s; a subset's server is tried so often: news before a trouble is old
+	subsetTime  = 1.0                    // s; a subset's server is tried so often: its news holds for a validity
+	recentTau   = 2.0                    // s; smoothing of the faster mean of latencies
 	subsetLeast = 8.0                    // servers; fewer leave no choice once a part of them is in trouble
 	rateMemory  = 10.0                   // s; smoothing of this node's arrivals: a subset is not to flutter
 	statusEvery = 5 * time.Second        // s; a line of counts and sizes: a day's log stays readable
@@ -241,7 +242,10 @@
 	return n, math.Max(1, math.Min(sparseQueue, aimed/unit))
 }
 
-func (m *Module) sparse() bool { return m.rate*validity.Seconds() < float64(len(m.near)) }
+// sparse: the others have most of the requests at this node's servers, or it has less than one in a validity.
+func (m *Module) sparse() bool {
+	return len(m.near) < len(m.ring) || m.rate*validity.Seconds() < float64(len(m.near))
+}
 
 // modeOf updates and gives a server's mode.
 func (m *Module) modeOf(s *server) Mode {
@@ -354,7 +358,7 @@
 	m.answers++
 	c.count++
 	m.mean += math.Max(classGain, 1/m.answers) * (t - m.mean)
-	m.recent += math.Max(1-decay(m.now-m.answeredAt, subsetTime), 1/m.answers) * (t/c.relative - m.recent)
+	m.recent += math.Max(1-decay(m.now-m.answeredAt, recentTau), 1/m.answers) * (t/c.relative - m.recent)
 	m.answeredAt = m.now
 	c.latency += math.Max(classGain, 1/c.count) * (t - c.latency)
 	c.ambient += math.Max(classGain, 1/c.count) * (m.mean - c.ambient)
--- a/decide/many_test.go
+++ b/decide/many_test.go
@@ -236,3 +236,18 @@
 		t.Errorf("%d of %d requests went to suspects, %d at most are to", sent, arrivals, most)
 	}
 }
+
+// A node of many hears of each of its servers about once in a validity, and so seldom opens a connection anew; and goes
+// by what servers report, as the others have most of the requests there.
+func TestSubsetsKeepNewsFresh(t *testing.T) {
+	m := New(sparseSettings(300), 1)
+	m.Handle(time.Hour, sparseList(200))
+	for i := range 800 {
+		now := time.Hour + time.Duration(i)*25*time.Millisecond
+		m.Handle(now, RequestArrived{ID: RequestID(fmt.Sprint(i)), Class: "dear", Patience: time.Second})
+		m.Handle(now, TimerFired{})
+	}
+	if each := 40 * validity.Seconds() / float64(len(m.near)); each < 0.9 || !m.sparse() {
+		t.Errorf("at 40 requests a second one of %d servers has %.2f in a validity (sparse: %v)", len(m.near), each, m.sparse())
+	}
+}
