Take servers without news for as full as the others, and own requests by share

The fleet lines show where the requests went: to the servers of which the node had no news, all of them: 15.060 fleet ... :n=13,H=15,rate=0,util=0.00,told=0,latency=0.915,mode=2 ... :n=5,H=15,...told=0,mode=0 20.072 fleet ... :n=7,H=15,rate=0,util=0.00,told=0,latency=1.000,... Checked: 13 requests of one node at a server that some 17 nodes use. Ruled out: suspects' trials (bounded by now), H (15).

Lines at fault: decide.go, crowd: a report faded to nothing in 3 s and a server without one counted as empty, so in a jam each of 300 nodes always found a normal server, and gave it all that it had; and its own requests there counted as all there are. Now a server's count drifts to what servers hold by all reports (that fades too), and what a node has at a server beyond one request counts by the node's share of all. Cold ones keep to their budget.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -55,6 +55,7 @@
 	holdPart    = 0.15                   // part of the aim a refused client is told to wait, jittered
 	askFirst    = 200 * time.Millisecond // s; wait before a list is asked for again; doubles
 	subsetTime  = 1.0                    // s; a subset's server is tried so often: its news holds for a validity
+	typicalTau  = 1.0                    // s; smoothing of what servers hold: one validity
 	recentTau   = 2.0                    // s; smoothing of the faster mean of latencies
 	subsetLeast = 8.0                    // servers; fewer leave no choice once a part of them is in trouble
 	rateMemory  = 10.0                   // s; smoothing of this node's arrivals: a subset is not to flutter
@@ -199,6 +200,16 @@
 	return m.room
 }
 
+// heldBy is what a server holds by its last report; that drifts to what all hold by theirs, and without any
+// to nothing. If it went there by itself, a server would look empty once its news is old, and in a jam all
+// nodes would always find such servers. Cold ones have a budget: before they report they hold nothing.
+func (m *Module) heldBy(s *server) float64 {
+	if s.cold && s.reportAt <= s.since {
+		return 0
+	}
+	return math.Max(0, m.typical*decay(m.now-m.typicalAt, staleTau)+s.over*decay(m.now-s.reportAt, staleTau))
+}
+
 // mute tells whether a server has not answered for a time in which the fleet's mean request is long done.
 func (m *Module) mute(s *server) bool {
 	return s.unanswered > 0 && m.mean > 0 &&
@@ -208,8 +219,8 @@
 // late takes a time-out for a report: a server holds what it can do in that time (Little's law).
 func (m *Module) late(s *server, took time.Duration) {
 	if full := m.full(); full > 0 && m.base > 0 && m.sparse() {
-		n := math.Max(s.report*decay(m.now-s.reportAt, staleTau), full*took.Seconds()/m.base)
-		s.report, s.reportAt = math.Min(n, reportCap), m.now
+		n := math.Max(m.heldBy(s), full*took.Seconds()/m.base)
+		s.over, s.reportAt = math.Min(n, reportCap)-m.typical*decay(m.now-m.typicalAt, staleTau), m.now
 	}
 }
 
@@ -226,7 +237,8 @@
 	}
 	if full := m.full(); full > 0 {
 		h = full * math.Max(1, math.Min(queueFactor, m.wanted()/m.base))
-		n = math.Max(s.n, s.report*decay(m.now-s.reportAt, staleTau))
+		// Where this node has several, the others have as many by their shares. A single one is chance.
+		n = math.Max((s.n-1)/math.Max(m.share, 1/float64(m.set.Nodes)), m.heldBy(s))
 		if mute := (m.now - s.muteSince).Seconds(); s.n > 0 && m.mute(s) {
 			n = math.Max(n, full*mute/m.base)
 		}
@@ -270,6 +282,8 @@
 		return
 	}
 	s.report, s.reportAt = math.Min(r.InFlight, reportCap), m.now // a huge one would block too long
+	m.typical += math.Max(classGain, 1-decay(m.now-m.typicalAt, typicalTau)) * (s.report - m.typical)
+	s.over, m.typicalAt = s.report-m.typical, m.now
 	if m.base > 0 && m.seasoned(s) && !s.cold && r.Utilisation >= leastUtil {
 		// By Little's law a server holds the more, the longer its answers take: that part is a queue.
 		gone := decay(m.now-m.heldAt, rateTau)
--- a/decide/many_test.go
+++ b/decide/many_test.go
@@ -251,3 +251,44 @@
 		t.Errorf("at 40 requests a second one of %d servers has %.2f in a validity (sparse: %v)", len(m.near), each, m.sparse())
 	}
 }
+
+// A server of which a node has no news, or none lately, is no empty one: in a jam all nodes would have such servers, and
+// each would send them all that it has. It holds what the others do, until that is old too.
+func TestServersWithoutNewsAreNotCrowded(t *testing.T) {
+	m := New(sparseSettings(300), 3)
+	m.Handle(time.Hour, sparseList(40))
+	_, now := drive(m, time.Hour, 20, 60*time.Millisecond, &Report{InFlight: 10, HasInFlight: true, Utilisation: 0.5})
+	now += 10 * time.Second
+	if mode := m.modeOf(m.near[0]); mode != Normal {
+		t.Fatalf("mode %v in ordinary work", mode)
+	}
+	m.now = now
+	for _, s := range m.near[1:] {
+		m.reported(s, &Report{InFlight: 60, HasInFlight: true, Utilisation: 1})
+	}
+	if s := m.near[0]; m.modeOf(s) == Normal {
+		t.Error("a server that has told nothing for 10 s is normal in a jam")
+	}
+	m.now += 10 * time.Second
+	if s := m.near[0]; m.modeOf(s) != Normal {
+		t.Error("10 s later the jam is still taken for news")
+	}
+}
+
+// What a node has at one server by itself counts by its share of all requests: each of the others has as many.
+func TestOwnRequestsCountByShare(t *testing.T) {
+	m := New(sparseSettings(300), 3)
+	m.Handle(time.Hour, sparseList(40))
+	_, now := drive(m, time.Hour, 20, 60*time.Millisecond, &Report{InFlight: 10, HasInFlight: true, Utilisation: 0.5})
+	m.now = now + time.Second
+	s := m.near[0]
+	for _, c := range []struct {
+		own  float64
+		want Mode
+	}{{1, Normal}, {2, Overloaded}, {4, Blocking}} {
+		m.share = 1 / (2.5 * m.full()) // if each node has one, the server has 2.5 times that
+		if s.mode, s.n, s.over = Normal, c.own, -m.typical; m.modeOf(s) != c.want {
+			t.Errorf("with %v requests of its own: mode %v, want %v", c.own, m.modeOf(s), c.want)
+		}
+	}
+}
--- a/decide/state.go
+++ b/decide/state.go
@@ -23,6 +23,7 @@
 	mode, told, imposed Mode // by own count; by reports; by a full answer or a report, until it lapses
 	imposedUntil        Time
 	n, report           float64 // own attempts in flight; requests it last reported to hold
+	over                float64 // what its last report was over the typical one, or a time-out tells of it
 	dither              float64 // in [0,1), drawn each period
 	excess, rate        float64 // s, smoothed latency of a mean request over m.mean; own answers each second, smoothed
 	latencyAt, rateAt   Time
@@ -117,6 +118,8 @@
 	share              float64 // this node's part of all requests at servers
 	held, busy         float64 // sums of what servers reported to hold, but for queues, and of how busy they were, fading
 	heldAt             Time
+	typical            float64 // what servers hold by their reports, smoothed; at typicalAt
+	typicalAt          Time
 	room               float64 // the least that their quotient has been
 	n1, n2, q1, q2     float64 // priority and other arrivals of this period; drop probabilities
 	fill, ticks        float64 // sum of how far the fleet was above H, over this period's ticks
@@ -205,8 +208,8 @@
 		"by_count=%v by_mode=%v suspect=%d cold=%d",
 		t.arrived, t.sent, t.refused, t.failed, t.noServer, t.shed, t.ended, t.byCount, t.byMode, t.suspect, t.cold)})
 	m.do(Log{fmt.Sprintf("sizes servers=%d/%d n=%.2f H=%.2f q1=%.2f q2=%.2f share=%.2f rate=%.2f peak=%.2f "+
-		"failing=%.3f mean=%.3f base=%.3f aimed=%.3f least=%.3f full=%.1f",
-		len(m.near), len(m.list), n/servers, h/servers, m.q1, m.q2, m.share, m.fleetRate, m.peak, m.failing, m.mean, m.base, m.aimed, m.least, m.full())})
+		"failing=%.3f mean=%.3f base=%.3f aimed=%.3f least=%.3f full=%.1f typical=%.1f",
+		len(m.near), len(m.list), n/servers, h/servers, m.q1, m.q2, m.share, m.fleetRate, m.peak, m.failing, m.mean, m.base, m.aimed, m.least, m.full(), m.typical)})
 	var fleet strings.Builder
 	for _, s := range m.near {
 		_, h := m.crowd(s)
