Count a single own request at a server by its share too, rounded by chance

First guess, wrong: own requests block servers of which the news is fresh, so count them only as it ages. So the opposite holds: what nodes have out is the only news that is not late.

Lines at fault: decide.go, crowd: (s.n-1)/share. With 38 nodes at a server its H of 16 is 0.4 of a request for each; such a share is rounded up or down by chance, as H itself is where own counts decide. n is now (s.n-dither)/share.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -237,8 +237,8 @@
 	}
 	if full := m.full(); full > 0 {
 		h = full * math.Max(1, math.Min(queueFactor, m.wanted()/m.base))
-		// Where this node has several, the others have as many by their shares. A single one is chance.
-		n = math.Max((s.n-1)/math.Max(m.share, 1/float64(m.set.Nodes)), m.heldBy(s))
+		// What this node has there, the others have by their shares. One more or less is chance, as with H.
+		n = math.Max((s.n-s.dither)/math.Max(m.share, 1/float64(m.set.Nodes)), m.heldBy(s))
 		if mute := (m.now - s.muteSince).Seconds(); s.n > 0 && m.mute(s) {
 			n = math.Max(n, full*mute/m.base)
 		}
--- a/decide/many_test.go
+++ b/decide/many_test.go
@@ -275,7 +275,8 @@
 	}
 }
 
-// What a node has at one server by itself counts by its share of all requests: each of the others has as many.
+// What a node has at one server by itself counts by its share of all requests: each of the others has as many. A share of
+// H is seldom a whole number, and so a single request counts by chance.
 func TestOwnRequestsCountByShare(t *testing.T) {
 	m := New(sparseSettings(300), 3)
 	m.Handle(time.Hour, sparseList(40))
@@ -283,12 +284,12 @@
 	m.now = now + time.Second
 	s := m.near[0]
 	for _, c := range []struct {
-		own  float64
-		want Mode
-	}{{1, Normal}, {2, Overloaded}, {4, Blocking}} {
+		own, dither float64
+		want        Mode
+	}{{0, 0, Normal}, {1, 0.8, Normal}, {1, 0.1, Overloaded}, {2, 0.9, Overloaded}, {4, 0.9, Blocking}} {
 		m.share = 1 / (2.5 * m.full()) // if each node has one, the server has 2.5 times that
-		if s.mode, s.n, s.over = Normal, c.own, -m.typical; m.modeOf(s) != c.want {
-			t.Errorf("with %v requests of its own: mode %v, want %v", c.own, m.modeOf(s), c.want)
+		if s.mode, s.n, s.dither, s.over = Normal, c.own, c.dither, -m.typical; m.modeOf(s) != c.want {
+			t.Errorf("with %v requests of its own, at chance %v: mode %v, want %v", c.own, c.dither, m.modeOf(s), c.want)
 		}
 	}
 }
