--- a/decide/decide.go
+++ b/decide/decide.go
@@ -626,7 +626,7 @@
 }
 
 // trial sends a request to a suspect, or to a server that loses its class, whose turn it is. It has the time
-// of an ordinary answer, or a healthy suspect stays one, and leaves as much for another if the aim allows.
+// of an ordinary answer and a half, or a healthy suspect stays one, and leaves some for a second attempt.
 // Trials are further attempts as others are: each node of many has many suspects once all is slow.
 func (m *Module) trial(r *request) bool {
 	s, c := m.dueTrial(r), r.class
@@ -634,11 +634,11 @@
 		return false
 	}
 	expected := time.Duration(m.mean * c.relative * float64(time.Second))
-	second := max(c.Aim/2, c.Aim-expected)
+	ordinary := max(c.Aim/3, expected*3/2)
 	switch {
-	case !s.suspect && m.send(r, s, second):
+	case !s.suspect && m.send(r, s, c.Aim/2):
 		s.faultOf(c).trialAt = m.now + m.jitter(trialFirst)
-	case s.suspect && m.send(r, s, min(max(m.set.ConnectTimeout, muteFactor*expected), second)):
+	case s.suspect && m.send(r, s, min(max(m.set.ConnectTimeout, muteFactor*expected), ordinary)):
 		s.trialWait = min(2*s.trialWait, trialLast)
 		r.trial, s.trialAt = true, m.now+m.jitter(s.trialWait)
 	default:
