Log the id of the request with a failed attempt

To follow one wrongly ended request through the node that handled it, its id has to stand beside the attempt. It is clipped as the fault is: both may quote a peer.

--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -283,8 +283,8 @@
 	if res.code != decide.OK && res.code != decide.Cancelled {
 		if now := time.Now(); now.Sub(l.toldFault) >= faultEvery {
 			l.toldFault = now
-			l.log.Info("attempt", "server", a.Server, "code", res.code, "took", now.Sub(t.sent), "conn_uses", res.conn.uses,
-				"conn_age", res.conn.age, "conn_idle", res.conn.idle, "err", clip(res.err))
+			l.log.Info("attempt", "id", clip(string(a.ID)), "server", a.Server, "code", res.code, "took", now.Sub(t.sent), "conn_uses", res.conn.uses,
+				"conn_age", res.conn.age, "conn_idle", res.conn.idle, "err", faultOf(res.err))
 		}
 	}
 	if r.over && r.out == 0 {
@@ -294,15 +294,16 @@
 		Code: res.code, Report: res.report})
 }
 
-// clip bounds what a fault puts into the log: it may quote what a peer sent.
-func clip(err error) string {
+// faultOf and clip bound what a fault puts into the log: it may quote what a peer sent.
+func faultOf(err error) string {
 	if err == nil {
 		return ""
 	}
-	text := err.Error()
-	return text[:min(len(text), faultText)]
+	return clip(err.Error())
 }
 
+func clip(text string) string { return text[:min(len(text), faultText)] }
+
 // heard takes a datagram from another node.
 func (l *loop) heard(from int, data []byte) {
 	l.post(func() { l.handle(decide.MessageReceived{From: from, Data: data}) })
