Send nothing on for a client that has left while its request waited

With a client gone, an attempt that still connected wrote its request once its connection was up, one queued in the loop likewise, and so did a further attempt. Ruled out: the loop's queue alone is not to blame (abandon in order still left a written request where the settings allow no cancel); with cancel allowed only an attempt that connects was stopped, and its connection thrown away. At fault: loop.send and loop.arrive, which looked at nothing but r.over; backends.do between connect and the write, which knew only the attempt's context (ended where MayCancel alone); backends.connect, whose dial ended with it. Now a request carries its client's context; it is looked at on arrival, before each attempt and before the first byte, and ends the wait for a connection, which goes on in the making and serves others. Test: TestNothingIsSentForAClientThatLeft, 4 places x 3 effects x 3 ways to leave x cancel or not; without the mend every place fails ('sent on', or the attempt stays); -race -count=50 passes.

--- a/internal/node/backend.go
+++ b/internal/node/backend.go
@@ -39,18 +39,23 @@
 // backends holds the connections to all backends. Each carries one request at a time; the most recently used
 // goes first. It does not use http.Transport, which sends some requests again by itself.
 type backends struct {
-	mu             sync.Mutex
-	hosts          map[decide.ServerID]*host
-	open, limit    int // connections, also those being made
-	large          atomic.Int64
-	largeLimit     int64
-	connectTimeout time.Duration
-	idleLimit      time.Duration
-	idle           idleRecord
-	log            *slog.Logger
-	stats          *stats
+	mu          sync.Mutex
+	hosts       map[decide.ServerID]*host
+	open, limit int // connections, also those being made
+	large       atomic.Int64
+	largeLimit  int64
+	idleLimit   time.Duration
+	idle        idleRecord
+	dial        dialFunc
+	dialling    sync.WaitGroup  // no more begin once the loop's work is done
+	life        context.Context // of connections in the making: their attempts may be over before them
+	end         context.CancelFunc
+	log         *slog.Logger
+	stats       *stats
 }
 
+type dialFunc func(ctx context.Context, network, addr string, deadline time.Time) (net.Conn, error)
+
 // host is one backend. The fields are under the lock of backends.
 type host struct {
 	addr    string
@@ -75,8 +80,14 @@
 	if idle <= 0 {
 		idle = time.Minute
 	}
-	return &backends{hosts: map[decide.ServerID]*host{}, limit: limit, log: log, stats: &stats{}, largeLimit: int64(largePart * float64(c.Limits.MemoryMB<<20)),
-		connectTimeout: c.Settings.ConnectTimeout, idleLimit: idle}
+	timeout := c.Settings.ConnectTimeout
+	b := &backends{hosts: map[decide.ServerID]*host{}, limit: limit, log: log, stats: &stats{}, largeLimit: int64(largePart * float64(c.Limits.MemoryMB<<20)),
+		idleLimit: idle, dial: func(ctx context.Context, network, addr string, deadline time.Time) (net.Conn, error) {
+			d := net.Dialer{Timeout: timeout, Deadline: deadline}
+			return d.DialContext(ctx, network, addr)
+		}}
+	b.life, b.end = context.WithCancel(context.Background())
+	return b
 }
 
 // update follows the list. Connections of an address or a process that is no more are closed: a request on one
@@ -168,6 +179,7 @@
 	for {
 		select {
 		case <-ctx.Done():
+			b.end()
 			b.mu.Lock()
 			defer b.mu.Unlock()
 			for _, h := range b.hosts {
@@ -231,8 +243,12 @@
 	errClosed  = errors.New("the backend drains or is gone")
 )
 
-// connect takes an idle connection or makes one. errTooMany is the node's own shortage.
+// connect takes an idle connection or makes one. errTooMany is the node's own shortage. If ctx ends, what is in the
+// making goes on and serves others: the backend has had the cost of it.
 func (b *backends) connect(ctx context.Context, h *host, deadline time.Time) (*conn, error) {
+	if err := ctx.Err(); err != nil {
+		return nil, err
+	}
 	b.mu.Lock()
 	if h.closed {
 		b.mu.Unlock()
@@ -259,8 +275,31 @@
 	h.dials++
 	b.mu.Unlock()
 	b.stats.dialled.Add(1)
-	d := net.Dialer{Timeout: b.connectTimeout, Deadline: deadline}
-	tcp, err := d.DialContext(ctx, "tcp", h.addr)
+	type made struct {
+		c   *conn
+		err error
+	}
+	taken := make(chan made) // without room: what nobody takes stays with its maker
+	b.dialling.Go(func() {
+		c, err := b.connectNew(h, deadline)
+		select {
+		case taken <- made{c, err}:
+		case <-ctx.Done():
+			if err == nil {
+				b.release(h, c, true)
+			}
+		}
+	})
+	select {
+	case m := <-taken:
+		return m.c, m.err
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+func (b *backends) connectNew(h *host, deadline time.Time) (*conn, error) {
+	tcp, err := b.dial(b.life, "tcp", h.addr, deadline)
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	h.dials--
@@ -327,10 +366,16 @@
 	url      *url.URL
 	header   http.Header
 	body     []byte
-	deadline time.Time // the node waits no longer
-	writeBy  time.Time // if set, nothing is written from then on
+	deadline time.Time       // the node waits no longer
+	writeBy  time.Time       // if set, nothing is written from then on
+	client   context.Context // if set, nothing is written once it has ended
 }
 
+var errUnwanted = errors.New("the client has left, or has its answer")
+
+// unwanted tells whether nobody waits for the answer.
+func (x *exchange) unwanted() bool { return x.client != nil && x.client.Err() != nil }
+
 // connFacts tell what an exchange's connection had been through by the time that the request was written.
 type connFacts struct {
 	uses      int
@@ -354,9 +399,16 @@
 		return result{code: decide.ConnectFailed, err: errClosed}
 	}
 	began := time.Now()
-	c, err := b.connect(ctx, h, x.deadline)
+	wanted, quit := context.WithCancel(ctx)
+	defer quit()
+	if x.client != nil {
+		defer context.AfterFunc(x.client, quit)()
+	}
+	c, err := b.connect(wanted, h, x.deadline)
 	if err != nil {
 		switch {
+		case x.unwanted():
+			return result{code: decide.Moot, err: errUnwanted}
 		case ctx.Err() != nil:
 			return result{code: decide.Cancelled, err: ctx.Err()}
 		case errors.Is(err, errTooMany): // not the backend's fault
@@ -368,6 +420,9 @@
 	// written it has not run.
 	now := time.Now()
 	switch {
+	case x.unwanted():
+		b.release(h, c, true)
+		return result{code: decide.Moot, err: errUnwanted}
 	case ctx.Err() != nil:
 		b.release(h, c, true)
 		return result{code: decide.Cancelled, err: ctx.Err()}
--- a/internal/node/frontend.go
+++ b/internal/node/frontend.go
@@ -210,7 +210,7 @@
 	}
 	return &request{arrived: e, deadline: time.Now().Add(patience - answerMargin), method: r.Method, body: body,
 		url:    &url.URL{Host: r.Host, Path: r.URL.Path, RawPath: r.URL.RawPath, RawQuery: r.URL.RawQuery, ForceQuery: r.URL.ForceQuery},
-		header: endToEnd(r.Header), answer: make(chan answer, 1)}
+		header: endToEnd(r.Header), client: r.Context(), answer: make(chan answer, 1)}
 }
 
 // fact tells whether one of the further figures of a request is set.
--- /dev/null
+++ b/internal/node/left_test.go
@@ -0,0 +1,210 @@
+package node
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"starlingvalve/decide"
+)
+
+// parts is a node whose parts a test can hold still.
+type parts struct {
+	loop  *loop
+	front *frontend
+	door  *admission
+	addr  string
+}
+
+func assemble(t *testing.T, c *Config) *parts {
+	t.Helper()
+	tcp, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if c.Limits.Sockets == 0 {
+		c.Limits = Limits{Cores: 1, MemoryMB: 192, Sockets: 256}
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	b := newBackends(c, 100, quiet)
+	l := newLoop(ctx, c, b, newDiscovery(c.Discovery, quiet), nil, quiet)
+	p := &parts{loop: l, front: newFrontend(l, 1<<20, quiet), door: newAdmission(tcp, 100), addr: tcp.Addr().String()}
+	srv := p.front.server(p.door)
+	ended := make(chan struct{}, 3)
+	t.Cleanup(func() {
+		stop()
+		srv.Close()
+		for range cap(ended) {
+			<-ended
+		}
+		b.dialling.Wait()
+	})
+	go func() { l.run(c.Known); ended <- struct{}{} }()
+	go func() { b.run(ctx); ended <- struct{}{} }()
+	go func() { srv.Serve(p.door); ended <- struct{}{} }()
+	return p
+}
+
+// in runs f in the loop and waits for it.
+func (p *parts) in(f func()) {
+	done := make(chan struct{})
+	p.loop.post(func() { f(); close(done) })
+	<-done
+}
+
+func eventually(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	for end := time.Now().Add(patient); !holds(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("%s: not within %v", what, patient)
+		}
+	}
+}
+
+// ways are those in which a client leaves.
+var ways = map[string]func(*net.TCPConn){
+	"closes":        func(c *net.TCPConn) { c.Close() },
+	"resets":        func(c *net.TCPConn) { c.SetLinger(0); c.Close() },
+	"stops sending": func(c *net.TCPConn) { c.CloseWrite() },
+}
+
+// What nothing has been written of when its client leaves is not sent on, wherever it waits and whatever it is: in the
+// loop's queue, for a connection, or for the connection of a further attempt. Its connection serves others.
+func TestNothingIsSentForAClientThatLeft(t *testing.T) {
+	t.Parallel()
+	for _, stage := range []string{"queued", "connecting", "further attempt", "further attempt queued"} {
+		for _, class := range []string{"read", "tag", "order"} {
+			for name, leave := range ways {
+				for _, cancel := range []bool{false, true} {
+					body := "b"
+					if class == "read" {
+						body = ""
+					} else if name == "resets" {
+						body = "" // a POST without a body
+					}
+					t.Run(strings.Join([]string{stage, class, name, map[bool]string{true: "may cancel", false: "no cancel"}[cancel]}, ", "), func(t *testing.T) {
+						t.Parallel()
+						leaves(t, stage, message(class, "9.5", body), leave, cancel)
+					})
+				}
+			}
+		}
+	}
+}
+
+func leaves(t *testing.T, stage, text string, leave func(*net.TCPConn), cancel bool) {
+	came := make(chan struct{}, 9)
+	full, turnAway := make(chan struct{}), stage == "further attempt queued"
+	answerFull := sync.OnceFunc(func() { close(full) })
+	first := make(chan struct{}, 1)
+	first <- struct{}{}
+	serve := answering(func(r *http.Request, _ []byte) string {
+		if strings.HasPrefix(stage, "further") {
+			select {
+			case <-first:
+				if turnAway {
+					came <- struct{}{}
+					<-full
+				}
+				return "HTTP/1.1 503 Full\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n"
+			default:
+			}
+		}
+		if r.Header.Get("X-Correlation-Id") != "other" {
+			t.Errorf("sent on: %v", r.Header)
+		}
+		return ok("x")
+	})
+	c := &Config{Settings: settings(), Known: known(backend(t, serve), backend(t, serve))}
+	c.Settings.MayCancel, c.Settings.AskForList = cancel, true
+	p := assemble(t, c)
+	t.Cleanup(answerFull)
+	b := p.loop.backends
+	dials, let, dial := make(chan struct{}, 9), make(chan struct{}), b.dial
+	release := sync.OnceFunc(func() { close(let) })
+	t.Cleanup(release)
+	if stage == "connecting" || stage == "further attempt" {
+		pass := stage == "further attempt"
+		b.mu.Lock()
+		b.dial = func(ctx context.Context, network, addr string, deadline time.Time) (net.Conn, error) {
+			if pass {
+				pass = false
+				return dial(ctx, network, addr, deadline)
+			}
+			dials <- struct{}{}
+			<-let
+			return dial(ctx, network, addr, deadline)
+		}
+		b.mu.Unlock()
+	}
+	hold := make(chan struct{})
+	letLoop := sync.OnceFunc(func() { close(hold) })
+	t.Cleanup(letLoop)
+	holdLoop := func() {
+		held := make(chan struct{})
+		p.loop.post(func() { close(held); <-hold })
+		<-held
+	}
+	if stage == "queued" {
+		holdLoop()
+	}
+	conn, err := net.Dial("tcp", p.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	io.WriteString(conn, text)
+	switch stage {
+	case "queued":
+		eventually(t, "in the queue", func() bool { return len(p.loop.happened) > 0 })
+	case "further attempt queued":
+		<-came
+		holdLoop()
+		answerFull()
+		eventually(t, "an outcome in the queue", func() bool { return len(p.loop.happened) > 0 })
+	default:
+		<-dials
+	}
+	leave(conn.(*net.TCPConn))
+	eventually(t, "noticed", func() bool { return p.front.stats.gone.Load() == 1 })
+	letLoop()
+	if stage == "connecting" || stage == "further attempt" { // nothing is awaited any more
+		eventually(t, "over", func() (over bool) { p.in(func() { over = len(p.loop.requests) == 0 }); return })
+	}
+	release()
+	eventually(t, "over", func() (over bool) { p.in(func() { over = len(p.loop.requests) == 0 }); return })
+	if stage == "connecting" || stage == "further attempt" {
+		// The connection comes up and is kept: another request has it, and there is nothing before that on it.
+		want := 1
+		if stage == "further attempt" {
+			want = 2
+		}
+		var idle []*host
+		eventually(t, "kept", func() bool {
+			b.mu.Lock()
+			defer b.mu.Unlock()
+			idle = nil
+			for _, h := range b.hosts {
+				if len(h.idle) > 0 && time.Since(h.idle[0].since) >= restLeast {
+					idle = append(idle, h)
+				}
+			}
+			return len(idle) == want
+		})
+		for _, h := range idle {
+			x := get(patient)
+			x.header = http.Header{"X-Correlation-Id": {"other"}}
+			if r := b.do(t.Context(), h, x); r.code != decide.OK {
+				t.Errorf("on the connection that was kept: %v (%v)", r.code, r.err)
+			}
+		}
+		if dialled := b.stats.dialled.Load(); dialled != int64(want) {
+			t.Errorf("%d connections, want %d", dialled, want)
+		}
+	}
+}
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -35,7 +35,8 @@
 	url      *url.URL
 	header   http.Header
 	body     []byte
-	answer   chan answer // holds one: the final answer
+	client   context.Context // ends when the client leaves or has its answer
+	answer   chan answer     // holds one: the final answer
 
 	// The rest belongs to the loop.
 	over     bool
@@ -192,6 +193,9 @@
 // arrive takes a request from the front end. An id that is still open is not taken twice: the module would not
 // answer it, and its effect could happen twice.
 func (l *loop) arrive(r *request) {
+	if r.client.Err() != nil { // it left while this was queued
+		return
+	}
 	if l.requests[r.arrived.ID] != nil {
 		r.answer <- answer{status: http.StatusConflict}
 		return
@@ -241,11 +245,14 @@
 	n := len(r.attempts)
 	r.attempts = append(r.attempts, t)
 	r.out++
+	if r.client.Err() != nil { // the news of it may be queued behind what led to this
+		l.abandon(r)
+	}
 	if r.over || n >= max(1, l.settings.MaxAttempts) || !now.Before(r.deadline) {
 		l.ended(a, n, result{code: decide.Moot})
 		return
 	}
-	x := &exchange{method: r.method, url: r.url, header: r.header, body: r.body, deadline: r.deadline}
+	x := &exchange{method: r.method, url: r.url, header: r.header, body: r.body, deadline: r.deadline, client: r.client}
 	if a.Timeout != 0 && now.Add(a.Timeout).Before(r.deadline) {
 		x.deadline = now.Add(a.Timeout)
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -78,6 +78,7 @@
 	stop()
 	srv.Close()
 	running.Wait()
+	b.dialling.Wait()
 	return err
 }
 
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -1095,7 +1095,7 @@
 	if got := <-heard; got != "1hi" {
 		t.Errorf("heard %q", got)
 	}
-	r := &request{arrived: decide.RequestArrived{ID: "q", Class: "order"}, deadline: time.Now().Add(patient), method: "POST",
+	r := &request{arrived: decide.RequestArrived{ID: "q", Class: "order"}, deadline: time.Now().Add(patient), client: t.Context(), method: "POST",
 		url: &url.URL{Path: "/order", Host: "h"}, answer: make(chan answer, 1)}
 	l.post(func() { l.arrive(r) })
 	expect("/order")
