See a client go that has sent more behind its request

Seen: by reading and in tests. net/http reads one byte while a request is open, to see the client's going; if a byte comes, it reads no more, and the going is seen by nobody: the request is sent on for a client that has left. Ruled out: a second look at the socket before the write sees the bytes and not the end behind them. At fault: net/http's connReader.backgroundRead, which ends with its byte; clientConn had no Read of its own. Now clientConn keeps what comes behind an open request, up to 4 KB, and goes on watching; the next request reads it.

--- a/internal/node/admission.go
+++ b/internal/node/admission.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -13,6 +14,7 @@
 	idleLeast  = 2 * time.Second        // a connection without a request is kept so long at least
 	freshLeast = 250 * time.Millisecond // one that has brought no request yet may go sooner: clients send at once
 	refuseWait = 20 * time.Millisecond  // to write a refusal to a new connection, whose buffer is empty
+	aheadLimit = 4 << 10                // bytes that a client sends behind an open request and that are kept for the next
 	refusal    = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 0.5\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
 )
 
@@ -33,6 +35,8 @@
 	*net.TCPConn
 	owner *admission
 	once  sync.Once
+	open  atomic.Bool // a request is
+	ahead []byte      // what was read behind an open request; only one goroutine reads at a time
 
 	// Under the owner's lock.
 	in      *queue.List // that it waits in, if it does
@@ -90,6 +94,30 @@
 	return a.count
 }
 
+// Read reads for net/http. While a request is open that reads a single byte, to see the client's going, and a byte that
+// comes would end its watch: what comes is kept here instead, until the request is answered.
+func (c *clientConn) Read(p []byte) (int, error) {
+	if len(c.ahead) > 0 && !(len(p) == 1 && c.open.Load()) {
+		n := copy(p, c.ahead)
+		c.ahead = c.ahead[n:]
+		return n, nil
+	}
+	if len(p) != 1 || !c.open.Load() {
+		return c.TCPConn.Read(p)
+	}
+	for len(c.ahead) < aheadLimit {
+		var next [512]byte
+		n, err := c.TCPConn.Read(next[:])
+		if err != nil {
+			return 0, err
+		}
+		c.ahead = append(c.ahead, next[:n]...)
+	}
+	p[0] = c.ahead[0] // so much that the watch has to end
+	c.ahead = c.ahead[1:]
+	return 1, nil
+}
+
 // longest gives the connection that is to make room, if one may be closed.
 func (a *admission) longest() *clientConn {
 	for _, from := range []struct {
@@ -119,6 +147,7 @@
 // track follows what the server does with a connection. It becomes active when a header has been read.
 func (a *admission) track(conn net.Conn, state http.ConnState) {
 	c := conn.(*clientConn)
+	c.open.Store(state == http.StateActive)
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	switch {
--- a/internal/node/left_test.go
+++ b/internal/node/left_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"bufio"
 	"context"
 	"io"
 	"net"
@@ -208,3 +209,50 @@
 		}
 	}
 }
+
+// What a client sends behind an open request waits for its turn, and is not lost.
+func TestSentAhead(t *testing.T) {
+	t.Parallel()
+	came, let := make(chan struct{}, 9), make(chan struct{})
+	addr := backend(t, answering(func(r *http.Request, body []byte) string {
+		came <- struct{}{}
+		<-let
+		return ok(r.Header.Get("X-Correlation-Id") + string(body))
+	}))
+	p := assemble(t, &Config{Settings: settings(), Known: known(addr)})
+	release := sync.OnceFunc(func() { close(let) })
+	t.Cleanup(release)
+	for _, size := range []int{1, aheadLimit / 2, aheadLimit * 4} {
+		conn, err := net.Dial("tcp", p.addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+		conn.SetDeadline(time.Now().Add(patient))
+		body := strings.Repeat("b", size)
+		var want []string
+		send := func(class, body string) {
+			text := message(class, "9.5", body)
+			_, id, _ := strings.Cut(text, "X-Correlation-Id: ")
+			id, _, _ = strings.Cut(id, "\r\n")
+			io.WriteString(conn, text)
+			want = append(want, id+body)
+		}
+		send("read", "")
+		<-came // it is open, and watched
+		for _, b := range []string{body, body} {
+			send("order", b)
+		}
+		release()
+		r := bufio.NewReader(conn)
+		for i, w := range want {
+			resp, err := http.ReadResponse(r, nil)
+			if err != nil {
+				t.Fatalf("size %d, answer %d: %v", size, i, err)
+			}
+			if got, err := io.ReadAll(resp.Body); err != nil || string(got) != w {
+				t.Errorf("size %d, answer %d: %.20q, %v; want %.20q", size, i, got, err, w)
+			}
+		}
+	}
+}
