--- a/internal/node/left_test.go
+++ b/internal/node/left_test.go
@@ -69,9 +69,10 @@
 
 // ways are those in which a client leaves.
 var ways = map[string]func(*net.TCPConn){
-	"closes":        func(c *net.TCPConn) { c.Close() },
-	"resets":        func(c *net.TCPConn) { c.SetLinger(0); c.Close() },
-	"stops sending": func(c *net.TCPConn) { c.CloseWrite() },
+	"closes":           func(c *net.TCPConn) { c.Close() },
+	"resets":           func(c *net.TCPConn) { c.SetLinger(0); c.Close() },
+	"stops sending":    func(c *net.TCPConn) { c.CloseWrite() },
+	"sends more, goes": func(c *net.TCPConn) { io.WriteString(c, strings.Repeat("G", 1000)); c.Close() },
 }
 
 // What nothing has been written of when its client leaves is not sent on, wherever it waits and whatever it is: in the
