End a request whose client has left before its outcome reaches the module

Seen: TestNothingIsSentForAClientThatLeft under load, twice in 240 runs: 'noticed: not within 20s'. An attempt that is not made since its client has left ends as moot, and that outcome could come to the loop before the front end's news: the module then refused a request that nobody waits for. Ruled out: a going that is not seen (the context had ended). At fault: loop.ended, which knew of the going by abandon's post alone. It asks the client's context now.

--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -273,6 +273,9 @@
 // ended tells the module of an attempt's end; the first answer goes to the client.
 func (l *loop) ended(a decide.Send, n int, res result) {
 	r := l.requests[a.ID]
+	if r.client.Err() != nil { // the news of it may be queued behind this
+		l.abandon(r)
+	}
 	t := r.attempts[n]
 	t.cancel()
 	t.neverRan = res.code == decide.Full || res.code == decide.ConnectFailed || res.code == decide.Moot
