Send the answer that is there, whatever else has come about with it

Ruled out: a handler that already waits (the first to come wakes it). At fault: the one select in frontend.ServeHTTP, which takes any ready case: a goroutine that runs late could tell 504 or 502 with an answer in its hand. It looks for an answer once more.

--- a/internal/node/frontend.go
+++ b/internal/node/frontend.go
@@ -116,22 +116,38 @@
 		f.write(w, answer{status: http.StatusServiceUnavailable})
 		return
 	}
-	late := time.NewTimer(max(0, time.Until(req.deadline)) + overdue)
-	defer late.Stop()
+	timer := time.NewTimer(max(0, time.Until(req.deadline)) + overdue)
+	defer timer.Stop()
+	left := false
+	var late string
 	select {
 	case a := <-req.answer:
 		f.write(w, a)
+		return
 	case <-r.Context().Done():
+		left = true
+	case <-timer.C:
+		late = "overdue"
+	case <-f.loop.ctx.Done():
+	}
+	select { // of two that are there select takes any: an answer goes first
+	case a := <-req.answer:
+		f.write(w, a)
+		return
+	default:
+	}
+	switch {
+	case left:
 		// It has closed its connection, or its own direction only: then it is told that nothing comes.
 		f.loop.post(func() { f.loop.abandon(req) })
 		f.stats.gone.Add(1)
 		reject(w, http.StatusBadRequest, "the client has closed")
-	case <-late.C:
+	case late != "":
 		f.loop.post(func() { f.loop.abandon(req) })
 		f.stats.overdue.Add(1)
-		f.log.Warn("overdue", "id", req.arrived.ID)
+		f.log.Warn(late, "id", req.arrived.ID)
 		f.write(w, answer{status: http.StatusGatewayTimeout})
-	case <-f.loop.ctx.Done():
+	default:
 		f.write(w, answer{status: http.StatusBadGateway})
 	}
 }
