Close no client's connection that a request has begun on; answer all before the node ends

Seen: by reading, and in tests. (1) http.Server.Shutdown closes connections that it takes for idle: one whose request is read in part, or whole but not yet marked active, ends without an answer; so did admit's eviction, and what came just after a close was settled could still be read. (2) A request taken before SIGTERM with more time than the node has ended with the process: drainEnd caps later ones only, and Shutdown waited past SIGKILL, then Close cut the rest. At fault: node.go, drain (Shutdown and its limit); admission.admit and longest. Now clientConn reads under a lock with a mark: a connection is shut only if nothing of a request was read or waits in the kernel, and nothing is read from then on. At the end 504 for what is open, 503 for what has begun, then close.

--- a/internal/node/admission.go
+++ b/internal/node/admission.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -33,6 +34,7 @@
 // clientConn embeds *net.TCPConn: net/http would reset connections whose CloseWrite it doesn't see.
 type clientConn struct {
 	*net.TCPConn
+	raw   syscall.RawConn
 	owner *admission
 	once  sync.Once
 	open  atomic.Bool // a request is
@@ -43,6 +45,11 @@
 	place   *queue.Element
 	since   time.Time
 	evicted bool
+
+	reading sync.Mutex // held with the owner's lock or without it, and over each read of the socket
+	heard   bool       // something of a further request was read
+	waiting bool       // whoever reads has seen that there is nothing
+	shut    bool       // by the node: nothing is read any more
 }
 
 func newAdmission(l *net.TCPListener, limit int) *admission {
@@ -69,7 +76,7 @@
 func (a *admission) admit(tcp *net.TCPConn) *clientConn {
 	a.mu.Lock()
 	for a.count >= a.limit {
-		old := a.longest()
+		old, begun := a.longest()
 		if old == nil {
 			a.mu.Unlock()
 			return nil
@@ -78,12 +85,19 @@
 		old.evicted = true
 		a.stats.evicted.Add(1)
 		a.mu.Unlock()
+		if begun {
+			old.refuse()
+		}
 		old.Close()
 		a.mu.Lock()
 	}
 	defer a.mu.Unlock()
 	a.count++
-	c := &clientConn{TCPConn: tcp, owner: a}
+	raw, err := tcp.SyscallConn()
+	if err != nil { // nil connections alone
+		panic(err)
+	}
+	c := &clientConn{TCPConn: tcp, raw: raw, owner: a}
 	c.wait(a.fresh)
 	return c
 }
@@ -103,11 +117,11 @@
 		return n, nil
 	}
 	if len(p) != 1 || !c.open.Load() {
-		return c.TCPConn.Read(p)
+		return c.receive(p)
 	}
 	for len(c.ahead) < aheadLimit {
 		var next [512]byte
-		n, err := c.TCPConn.Read(next[:])
+		n, err := c.receive(next[:])
 		if err != nil {
 			return 0, err
 		}
@@ -118,17 +132,114 @@
 	return 1, nil
 }
 
-// longest gives the connection that is to make room, if one may be closed.
-func (a *admission) longest() *clientConn {
+// longest gives the connection that is to make room, if one may be closed, and shuts it. One of which nothing has been
+// read goes first; a request that has begun, and does not go on, is answered.
+func (a *admission) longest() (c *clientConn, begun bool) {
 	for _, from := range []struct {
 		l     *queue.List
 		least time.Duration
-	}{{a.idle, idleLeast}, {a.fresh, freshLeast}} {
-		if e := from.l.Front(); e != nil && time.Since(e.Value.(*clientConn).since) >= from.least {
-			return e.Value.(*clientConn)
+		begun bool
+	}{{a.idle, idleLeast, false}, {a.fresh, freshLeast, false}, {a.fresh, freshLeast, true}} {
+		for e := from.l.Front(); e != nil && time.Since(e.Value.(*clientConn).since) >= from.least; e = e.Next() {
+			c := e.Value.(*clientConn)
+			if from.begun {
+				c.cut()
+				return c, true
+			}
+			if c.shutQuiet(false) {
+				return c, false
+			}
+		}
+	}
+	return nil, false
+}
+
+// closeQuiet closes connections on which nothing has come since their last answer, or at all.
+func (a *admission) closeQuiet() {
+	for _, c := range a.resting(func(c *clientConn) bool { return c.shutQuiet(true) }) {
+		c.Close()
+	}
+}
+
+// refuseRest answers, and closes, connections on which no request is open: what has come of one has come too late.
+func (a *admission) refuseRest() {
+	for _, c := range a.resting((*clientConn).cut) {
+		c.refuse()
+		c.Close()
+	}
+}
+
+// resting takes the connections with no request open of which shut is true.
+func (a *admission) resting(shut func(*clientConn) bool) (taken []*clientConn) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, l := range []*queue.List{a.fresh, a.idle} {
+		for e := l.Front(); e != nil; {
+			c := e.Value.(*clientConn)
+			e = e.Next()
+			if shut(c) {
+				c.leave()
+				c.evicted = true
+				taken = append(taken, c)
+			}
 		}
 	}
-	return nil
+	return taken
+}
+
+// shutQuiet shuts the connection if nothing of a further request has been read, or waits to be. What comes from then on
+// is not read: then its client knows that it may send it again. seen: whoever reads has to have looked.
+func (c *clientConn) shutQuiet(seen bool) bool {
+	c.reading.Lock()
+	defer c.reading.Unlock()
+	if c.heard || c.shut || seen && !c.waiting {
+		return false
+	}
+	err := c.raw.Control(func(fd uintptr) {
+		var next [1]byte
+		n, _, err := syscall.Recvfrom(int(fd), next[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		c.shut = n <= 0 && err != syscall.EINTR
+	})
+	return err == nil && c.shut
+}
+
+func (c *clientConn) cut() bool {
+	c.reading.Lock()
+	defer c.reading.Unlock()
+	c.shut = true
+	return true
+}
+
+// refuse writes an answer of the node's own where no request is open, so that nobody else writes.
+func (c *clientConn) refuse() {
+	c.SetWriteDeadline(time.Now().Add(refuseWait))
+	io.WriteString(c.TCPConn, refusal)
+}
+
+// receive reads from the socket unless the connection is shut.
+func (c *clientConn) receive(p []byte) (n int, err error) {
+	rawErr := c.raw.Read(func(fd uintptr) bool {
+		c.reading.Lock()
+		defer c.reading.Unlock()
+		if c.shut {
+			err = net.ErrClosed
+			return true
+		}
+		for n, err = syscall.Read(int(fd), p); err == syscall.EINTR; n, err = syscall.Read(int(fd), p) {
+		}
+		c.waiting = err == syscall.EAGAIN
+		c.heard = c.heard || n > 0
+		return !c.waiting
+	})
+	switch {
+	case rawErr != nil:
+		return 0, &net.OpError{Op: "read", Net: "tcp", Err: rawErr}
+	case err != nil:
+		return 0, &net.OpError{Op: "read", Net: "tcp", Err: err}
+	case n == 0 && len(p) > 0:
+		return 0, io.EOF
+	}
+	return n, nil
 }
 
 func (c *clientConn) wait(l *queue.List) {
@@ -153,6 +264,9 @@
 	switch {
 	case c.evicted:
 	case state == http.StateIdle:
+		c.reading.Lock()
+		c.heard, c.waiting = len(c.ahead) > 0, false
+		c.reading.Unlock()
 		c.wait(a.idle)
 	case state != http.StateNew:
 		c.leave()
--- a/internal/node/drain_test.go
+++ b/internal/node/drain_test.go
@@ -3,12 +3,192 @@
 import (
 	"bufio"
 	"context"
+	"errors"
+	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 )
 
+// pair gives a connection as the node has it, and its client's side.
+func pair(t *testing.T) (*admission, *clientConn, *net.TCPConn) {
+	t.Helper()
+	tcp, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer tcp.Close()
+	a := newAdmission(tcp, 1)
+	client, err := net.Dial("tcp", tcp.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	c, err := a.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { client.Close(); c.Close() })
+	client.SetDeadline(time.Now().Add(patient))
+	return a, c.(*clientConn), client.(*net.TCPConn)
+}
+
+// A connection that the node closes as idle has brought nothing that the node has read, and brings nothing from then on:
+// only then does its client know that what it has sent meanwhile may be sent again.
+func TestCloseCrossesRequest(t *testing.T) {
+	t.Parallel()
+	read := func(c *clientConn) chan error {
+		got := make(chan error, 1)
+		go func() {
+			_, err := c.Read(make([]byte, 4096))
+			got <- err
+		}()
+		return got
+	}
+	waits := func(c *clientConn) func() bool {
+		return func() bool { c.reading.Lock(); defer c.reading.Unlock(); return c.waiting }
+	}
+	t.Run("request waits in the kernel", func(t *testing.T) {
+		a, c, client := pair(t)
+		io.WriteString(client, "GET")
+		eventually(t, "come", func() bool {
+			return !c.shutQuietBack()
+		})
+		a.closeQuiet()
+		if err := <-read(c); err != nil {
+			t.Error(err)
+		}
+		a.closeQuiet() // it has been read now
+		if a.held() != 1 {
+			t.Error("closed under a request")
+		}
+		a.refuseRest()
+		if resp, err := http.ReadResponse(bufio.NewReader(client), nil); err != nil || resp.StatusCode != 503 {
+			t.Errorf("%v, %v", resp, err)
+		}
+		if a.held() != 0 {
+			t.Error("still open")
+		}
+	})
+	t.Run("request comes after the close was settled", func(t *testing.T) {
+		_, c, client := pair(t)
+		got := read(c)
+		eventually(t, "reading", waits(c))
+		if !c.shutQuiet(true) {
+			t.Fatal("not shut")
+		}
+		io.WriteString(client, "GET")
+		if err := <-got; !errors.Is(err, net.ErrClosed) {
+			t.Errorf("read %v", err)
+		}
+	})
+	t.Run("quiet", func(t *testing.T) {
+		a, c, client := pair(t)
+		a.closeQuiet() // nobody has looked yet
+		if a.held() != 1 {
+			t.Error("closed before anybody has looked")
+		}
+		got := read(c)
+		eventually(t, "reading", waits(c))
+		a.closeQuiet()
+		if err := <-got; !errors.Is(err, net.ErrClosed) || a.held() != 0 {
+			t.Errorf("read %v, %d held", err, a.held())
+		}
+		if n, err := client.Read(make([]byte, 1)); err != io.EOF {
+			t.Errorf("the client reads %d, %v", n, err)
+		}
+	})
+	t.Run("evicted with a begun request", func(t *testing.T) {
+		a, c, client := pair(t)
+		io.WriteString(client, "GET")
+		if err := <-read(c); err != nil {
+			t.Fatal(err)
+		}
+		a.mu.Lock()
+		c.since = time.Now().Add(-freshLeast)
+		old, begun := a.longest()
+		a.mu.Unlock()
+		if old != c || !begun {
+			t.Fatalf("%v, %v", old, begun)
+		}
+		old.refuse()
+		if resp, err := http.ReadResponse(bufio.NewReader(client), nil); err != nil || resp.StatusCode != 503 {
+			t.Errorf("%v, %v", resp, err)
+		}
+	})
+}
+
+// shutQuietBack is shutQuiet(false), undone.
+func (c *clientConn) shutQuietBack() bool {
+	quiet := c.shutQuiet(false)
+	c.reading.Lock()
+	defer c.reading.Unlock()
+	c.shut = false
+	return quiet
+}
+
+// At the node's end a request whose first part has come is answered, on a connection that has been idle, and so is one
+// that was taken before the end was asked for and has more time than the node.
+func TestEndAnswersAll(t *testing.T) {
+	t.Parallel()
+	came := make(chan struct{}, 9)
+	c := &Config{Settings: settings()}
+	for i := range c.Settings.Classes {
+		c.Settings.Classes[i].Deadline = 300 * time.Millisecond
+	}
+	silent := backend(t, func(c net.Conn) { // POSTs are never answered
+		r := bufio.NewReader(c)
+		for {
+			req, err := http.ReadRequest(r)
+			if err != nil {
+				return
+			}
+			if req.Method == "POST" {
+				came <- struct{}{}
+				io.Copy(io.Discard, c)
+				return
+			}
+			io.WriteString(c, ok("x"))
+		}
+	})
+	c.Known = known(silent)
+	n := start(t, c)
+	dial := func() (net.Conn, *bufio.Reader) {
+		conn, err := net.Dial("tcp", n.addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { conn.Close() })
+		conn.SetDeadline(time.Now().Add(patient))
+		return conn, bufio.NewReader(conn)
+	}
+	begun, r := dial()
+	io.WriteString(begun, message("read", "9.5", ""))
+	resp, err := http.ReadResponse(r, nil)
+	if err != nil || resp.StatusCode != 200 {
+		t.Fatalf("%v, %v", resp, err)
+	}
+	io.Copy(io.Discard, resp.Body)
+	long, longR := dial()
+	io.WriteString(long, message("order", "9.5", "b"))
+	<-came
+	text := message("read", "9.5", "")
+	io.WriteString(begun, text[:20])
+	n.stop()
+	if resp, err := http.ReadResponse(longR, nil); err != nil || resp.StatusCode != 504 {
+		t.Errorf("with more time than the node: %v, %v", resp, err)
+	}
+	io.WriteString(begun, text[20:])
+	if resp, err := http.ReadResponse(r, nil); err != nil || resp.StatusCode != 503 {
+		t.Errorf("begun: %v, %v", resp, err)
+	}
+	if err := <-n.ended; err != nil {
+		t.Error(err)
+	}
+}
+
 // endsWhen is a context that has ended for whoever asks for Done, once an answer is there.
 type endsWhen struct {
 	context.Context
--- a/internal/node/frontend.go
+++ b/internal/node/frontend.go
@@ -40,6 +40,7 @@
 	classes   map[string]decide.Class
 	drainEnd  atomic.Pointer[time.Time] // set once the node is to end
 	closing   atomic.Bool               // it takes no more requests
+	ended     chan struct{}             // closed when what is still open has to be answered
 	open      atomic.Int64              // requests that the module has
 	maxOpen   int64
 	bodies    atomic.Int64 // bytes of bodies that are held
@@ -47,7 +48,7 @@
 }
 
 func newFrontend(l *loop, maxBodies int64, log *slog.Logger) *frontend {
-	f := &frontend{loop: l, log: log, stats: &stats{}, classes: map[string]decide.Class{}, maxOpen: math.MaxInt64, maxBodies: maxBodies}
+	f := &frontend{loop: l, log: log, stats: &stats{}, classes: map[string]decide.Class{}, ended: make(chan struct{}), maxOpen: math.MaxInt64, maxBodies: maxBodies}
 	if m := l.settings.MaxOpen; m > 0 {
 		f.maxOpen = int64(m)
 	}
@@ -128,6 +129,8 @@
 		left = true
 	case <-timer.C:
 		late = "overdue"
+	case <-f.ended:
+		late = "the node ends"
 	case <-f.loop.ctx.Done():
 	}
 	select { // of two that are there select takes any: an answer goes first
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -2,11 +2,9 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"log/slog"
 	"net"
-	"net/http"
 	"os"
 	"sync"
 	"time"
@@ -27,6 +25,7 @@
 	killMargin   = 200 * time.Millisecond // kept from that: the last answers have left by then
 	lastCall     = 300 * time.Millisecond // before that end no more requests are taken
 	drainLook    = 20 * time.Millisecond
+	drainAnswer  = 50 * time.Millisecond // after that end, for the module's own answers; the same again for the rest
 )
 
 // Run serves until ctx ends and what has been taken by then is answered. On reload it reads the configuration again.
@@ -73,7 +72,7 @@
 	case err = <-served:
 		err = fmt.Errorf("serve: %w", err)
 	case <-ctx.Done():
-		f.drain(srv, door)
+		f.drain(door)
 	}
 	stop()
 	srv.Close()
@@ -84,8 +83,9 @@
 
 // drain lets the node go. Clients still come for a moment, and what the kernel has accepted counts as taken: so
 // the listener stays open for that long. On the connections that they have they are served for as long as an answer
-// can come before the node is killed: the others of its zone may be few, and have its clients soon enough.
-func (f *frontend) drain(srv *http.Server, door *admission) {
+// can come before the node is killed: the others of its zone may be few, and have its clients soon enough. Then
+// connections are closed, but none that a request has come on, not even a part of one; those are answered.
+func (f *frontend) drain(door *admission) {
 	longest := time.Duration(0)
 	for _, c := range f.classes {
 		longest = max(longest, c.Deadline)
@@ -95,14 +95,19 @@
 	f.log.Info("draining")
 	time.Sleep(drainAccept)
 	door.TCPListener.Close()
-	for time.Until(end) > lastCall && door.held() > 0 {
-		time.Sleep(drainLook)
+	wait := func(until time.Time) {
+		for time.Until(until) > 0 && door.held() > 0 {
+			if f.closing.Load() {
+				door.closeQuiet()
+			}
+			time.Sleep(drainLook)
+		}
 	}
+	wait(end.Add(-lastCall))
 	f.closing.Store(true)
-	ctx, cancel := context.WithTimeout(context.Background(), longest+killAfter)
-	defer cancel()
-	if err := srv.Shutdown(ctx); err != nil && !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
-		f.log.Warn("drained with requests held", "err", err)
-	}
-	f.log.Info("drained")
+	wait(end.Add(drainAnswer))
+	close(f.ended) // of what came before the signal some may have more time than the node
+	wait(end.Add(2 * drainAnswer))
+	door.refuseRest()
+	f.log.Info("drained", "held", door.held())
 }
