Let a connection rest for 20 ms after an answer: second answers come up to 4.6 ms late

What comes after the next request was written is read as that request's answer: one client gets another's. Ruled out: telling them apart by id (answers carry length and load alone, 'HEADERS h=map[Content-Length X-Backend-Load]'); the peek before the write (too early for them).

--- a/internal/node/backend.go
+++ b/internal/node/backend.go
@@ -31,9 +31,9 @@
 	sweepEvery  = time.Second
 	idlePart    = 0.75 // of the time after which a backend closes an idle connection: well before, it is retired
 	probeWait   = 500 * time.Millisecond
-	restLeast   = 3 * time.Millisecond // what comes right behind an answer has come by then
-	dialPart    = 8                    // one backend's share of all connections that may be in the making
-	loadLimit   = 1e6                  // more than any figure of a load report can be
+	restLeast   = 20 * time.Millisecond // what comes right behind an answer has come by then: in 28 cases 0.8 to 4.6 ms after
+	dialPart    = 8                     // one backend's share of all connections that may be in the making
+	loadLimit   = 1e6                   // more than any figure of a load report can be
 )
 
 // backends holds the connections to all backends. Each carries one request at a time; the most recently used
