Take a backend's 429 for a failure that may have run, not for a refusal to pass on

Seen: by reading. TestTooManyRequestsIsNoRefusal sends an unsafe request to a backend that answers 429: the client got 429, which tells it that a new try does no harm. Ruled out: 503 without X-Unprocessed (a server error already). At fault: roundTrip, which passed on every 4xx. Only X-Unprocessed proves that nothing ran. Without the mend: 'status 429'.

--- a/internal/node/backend.go
+++ b/internal/node/backend.go
@@ -537,6 +537,7 @@
 		r.code = decide.OK
 	case (status == http.StatusServiceUnavailable || status == http.StatusGatewayTimeout) && resp.Header.Get("X-Unprocessed") == "1":
 		r.code = decide.Full
+	case status == http.StatusTooManyRequests: // it promises that nothing ran, which only X-Unprocessed does
 	case status >= 400 && status < 500:
 		r.code, r.client = decide.Cancelled, status
 	}
