Keep news that crosses a move; ask a pushed list again in the grace; repeat no call unasked

Three crossings of list watches, seen by reading; each with its own test, which fails without its part. (1) What a watch was told just before SIGHUP moves discovery came behind the move in the loop's queue and was dropped, though it counts as told, and the new address may be silent. At fault: loop.watching, whose way in closed with its context. TestNewsCrossesMove ('the drain is not followed'). (2) Where lists are pushed the agent's news counts at its return, and the node slept up to 7.5 s, or sat 3 s in a call that hung. At fault: discovery.follow and callSlack; both follow the drain grace of the settings now. (3) net/http repeats a reset call at once, on all nodes in step, in what is left of the old call's time. At fault: discovery.call, whose GET it may repeat.

--- a/internal/node/crossings_test.go
+++ b/internal/node/crossings_test.go
@@ -1,8 +1,15 @@
 package node
 
 import (
+	"bufio"
+	"io"
+	"net"
 	"net/http"
+	"net/netip"
+	"net/url"
+	"sync"
 	"testing"
+	"time"
 )
 
 // A backend's own 429 promises nothing: a client that took it for a refusal would repeat what may have run.
@@ -16,3 +23,136 @@
 		t.Errorf("status %d", resp.StatusCode)
 	}
 }
+
+// News that was told before discovery moves is followed, though it comes to the loop after the move: it counts as told,
+// and at the new address nobody may answer.
+func TestNewsCrossesMove(t *testing.T) {
+	t.Parallel()
+	for _, pushed := range []bool{false, true} {
+		addr := backend(t, answering(func(*http.Request, []byte) string { return ok("x") }))
+		tell, told, rest := make(chan struct{}), make(chan struct{}, 1), make(chan struct{})
+		c := &Config{Settings: settings(), Known: known(addr)}
+		c.Settings.AskForList = !pushed
+		c.Discovery = registry(t, func(n int, _ url.Values) string {
+			switch n {
+			case 1:
+				return jsonList(5, true, "ready", addr)
+			case 2:
+				told <- struct{}{}
+				<-tell
+				return jsonList(6, false, "draining", addr)
+			}
+			<-rest
+			return ""
+		})
+		t.Cleanup(func() { close(rest) })
+		p := assemble(t, c)
+		release := sync.OnceFunc(func() { close(tell) })
+		t.Cleanup(release)
+		select {
+		case <-told:
+		case <-time.After(patient):
+			t.Fatal("no watch")
+		}
+		hold := make(chan struct{})
+		letLoop := sync.OnceFunc(func() { close(hold) })
+		t.Cleanup(letLoop)
+		held := make(chan struct{})
+		p.loop.post(func() { close(held); <-hold })
+		<-held
+		silent := netip.MustParseAddrPort(backend(t, func(c net.Conn) { io.Copy(io.Discard, c) }))
+		p.loop.post(func() { p.loop.move(silent) })
+		release()
+		eventually(t, "news behind the move", func() bool { return len(p.loop.happened) >= 2 })
+		letLoop()
+		p.in(func() {})
+		if h := p.loop.backends.find(1); h != nil {
+			t.Errorf("pushed %v: the drain is not followed", pushed)
+		}
+	}
+}
+
+// A watch that is reset is begun anew by the node, in its own time: net/http would repeat the call at once, on every node
+// in step, with what time is left of the old one.
+func TestWatchIsNotRepeatedByTheLibrary(t *testing.T) {
+	t.Parallel()
+	addr := backend(t, answering(func(*http.Request, []byte) string { return ok("x") }))
+	calls := make(chan url.Values, 99)
+	var mu sync.Mutex
+	n := 0
+	c := &Config{Settings: settings(), Known: known(addr)}
+	c.Discovery = netip.MustParseAddrPort(backend(t, func(c net.Conn) {
+		r := bufio.NewReader(c)
+		for {
+			req, err := http.ReadRequest(r)
+			if err != nil {
+				return
+			}
+			calls <- req.URL.Query()
+			if req.ContentLength != 0 || len(req.TransferEncoding) > 0 {
+				t.Errorf("a call with a body: %d, %v", req.ContentLength, req.TransferEncoding)
+			}
+			mu.Lock()
+			n++
+			second := n == 2
+			mu.Unlock()
+			if second {
+				c.(*net.TCPConn).SetLinger(0)
+				c.Close()
+				return
+			}
+			if req.URL.Query().Get("timeout_ms") != "1" {
+				io.Copy(io.Discard, c)
+				return
+			}
+			io.WriteString(c, jsonList(5, true, "ready", addr))
+		}
+	}))
+	start(t, c)
+	for i, want := range []string{"1", "3000", "1"} {
+		select {
+		case q := <-calls:
+			if q.Get("timeout_ms") != want {
+				t.Errorf("call %d: %v, want timeout_ms %s", i, q, want)
+			}
+		case <-time.After(patient):
+			t.Fatalf("no call %d", i)
+		}
+	}
+}
+
+// Where lists are pushed, what the agent gets when it is back counts as told at once: the node may not sleep then for
+// longer than it may go on sending to a backend that drains, nor wait for a call that the agent never took.
+func TestPushedListIsAskedForWithinTheGrace(t *testing.T) {
+	t.Parallel()
+	const failing = 10
+	addr := backend(t, answering(func(*http.Request, []byte) string { return ok("x") }))
+	done := make(chan struct{})
+	c := &Config{Settings: settings(), Known: known(addr)}
+	c.Settings.AskForList = false
+	hang := make(chan struct{})
+	c.Discovery = registry(t, func(n int, _ url.Values) string {
+		switch {
+		case n <= failing && n%3 == 0:
+			<-hang // the node gives up
+			return ""
+		case n <= failing:
+			return "HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n"
+		case n == failing+1:
+			close(done)
+		}
+		return jsonList(5, true, "ready", addr)
+	})
+	t.Cleanup(func() { close(hang) })
+	began := time.Now()
+	start(t, c)
+	select {
+	case <-done:
+	case <-time.After(3 * patient):
+		t.Fatal("not asked again")
+	}
+	// Half of the time that pauses of up to 5 s and calls of up to 3 s take at least.
+	if took := time.Since(began); took > failing*time.Second {
+		t.Errorf("%d failing calls took %v with a grace of %v", failing, took, c.Settings.DrainGrace)
+	}
+}
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -113,7 +113,9 @@
 func (d *discovery) call(ctx context.Context, query string, limit time.Duration) (list, error) {
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+d.addr.String()+registryURL+query, nil)
+	// An empty body that can't be had again keeps net/http from repeating a call that is reset by itself: all nodes would do
+	// so at once, in the time that is left of the old call.
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+d.addr.String()+registryURL+query, io.NopCloser(http.NoBody))
 	if err != nil {
 		return list{}, err
 	}
@@ -142,10 +144,10 @@
 }
 
 // watch hands on changes from a version on, the answer to its first call even if it holds none, until a call
-// fails. With no version to begin at, it begins with the whole list.
-func (d *discovery) watch(ctx context.Context, since *uint64, news func(list)) error {
+// fails. With no version to begin at, it begins with the whole list. slack is what the first call may take.
+func (d *discovery) watch(ctx context.Context, since *uint64, slack time.Duration, news func(list)) error {
 	var version uint64
-	wait, slack := firstWait, callSlack
+	wait := firstWait
 	for first := true; ; first = false {
 		asked := time.Now()
 		var l list
@@ -178,16 +180,23 @@
 	}
 }
 
-// follow keeps a watch where lists are pushed and so nobody asks for one.
-func (d *discovery) follow(ctx context.Context, since *uint64, news func(list)) {
-	retry := retryFirst
+// follow keeps a watch where lists are pushed and so nobody asks for one. What the agent has then counts as told, also
+// while there is no watch: as soon as it is back the node has the drain grace to hear of it, for a call that hangs, a
+// pause and the call that is answered.
+func (d *discovery) follow(ctx context.Context, since *uint64, grace time.Duration, news func(list)) {
+	slack, last := callSlack, retryLast
+	if grace > 0 {
+		slack, last = min(callSlack, grace/3), min(retryLast, grace/4) // and half as much again, by the jitter
+	}
+	first := min(retryFirst, last)
+	retry := first
 	for ctx.Err() == nil {
-		err := d.watch(ctx, since, func(l list) { since, retry = &l.version, retryFirst; news(l) })
+		err := d.watch(ctx, since, slack, func(l list) { since, retry = &l.version, first; news(l) })
 		d.log.Debug("watch ended", "err", err)
 		select {
 		case <-ctx.Done():
 		case <-time.After(time.Duration(float64(retry) * (0.5 + rand.Float64()))):
 		}
-		retry = min(2*retry, retryLast)
+		retry = min(2*retry, last)
 	}
 }
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -346,16 +346,32 @@
 	ctx, current := l.watching()
 	d, since := l.disco, l.version
 	l.work.Go(func() {
-		err := d.watch(ctx, since, func(n list) { current(func() { l.watchOpen = true; l.news(n) }) })
+		err := d.watch(ctx, since, callSlack, l.newsOf(ctx))
 		current(func() { l.unwatch(); l.told(list{}, err) })
 	})
 }
 
 // listen keeps a watch where lists are pushed and so nobody asks for one.
 func (l *loop) listen() {
-	ctx, current := l.watching()
+	ctx, _ := l.watching()
 	d, since := l.disco, l.version
-	l.work.Go(func() { d.follow(ctx, since, func(n list) { current(func() { l.news(n) }) }) })
+	l.work.Go(func() { d.follow(ctx, since, l.settings.DrainGrace, l.newsOf(ctx)) })
+}
+
+// newsOf gives a watch's way of handing on news. What it was told before it ended may come behind its end, and counts as
+// told: unless its successor has brought something by then, it is followed where it is newer than what is known.
+func (l *loop) newsOf(ctx context.Context) func(list) {
+	return func(n list) {
+		l.post(func() {
+			switch {
+			case ctx.Err() == nil:
+				l.watchOpen = true
+				l.news(n)
+			case !l.watchOpen && l.version != nil && n.version > *l.version:
+				l.news(n)
+			}
+		})
+	}
 }
 
 // watching gives what a new watch needs: a context, and a way into the loop for as long as it is not ended.
