Tell a body that crosses its deadline that it is late, not that its client has left

Seen: by reading. net/http begins its watch for the client's going with the body's last byte, under the read deadline of the body; if that passes before readBody lifts it, the watch ends, and the request counted as one whose client left. Ruled out: the header's deadline (net/http lifts it before it watches). At fault: readBody, which looked at the error alone. It looks at the time once the deadline is lifted. TestBodyCrossesItsDeadline, without: 'status 0'.

--- a/internal/node/drain_test.go
+++ b/internal/node/drain_test.go
@@ -218,3 +218,20 @@
 		}
 	}
 }
+
+// lateBody brings its last byte when the time for it is over.
+type lateBody struct{ after <-chan time.Time }
+
+func (b lateBody) Read(p []byte) (int, error) { <-b.after; p[0] = 'b'; return 1, io.EOF }
+func (lateBody) Close() error                 { return nil }
+
+// A body whose end crosses the deadline for it is told to be late: net/http's watch for the client's going may have
+// ended with that deadline, and the request would be taken for one whose client has left.
+func TestBodyCrossesItsDeadline(t *testing.T) {
+	t.Parallel()
+	r := httptest.NewRequest("POST", "/order", lateBody{time.After(bodyWait)})
+	r.ContentLength = 1
+	if _, status, fault := readBody(httptest.NewRecorder(), r); status != http.StatusRequestTimeout {
+		t.Errorf("status %d, %q", status, fault)
+	}
+}
--- a/internal/node/frontend.go
+++ b/internal/node/frontend.go
@@ -209,7 +209,8 @@
 		return nil, 0, ""
 	}
 	control := http.NewResponseController(w)
-	control.SetReadDeadline(time.Now().Add(bodyWait))
+	by := time.Now().Add(bodyWait)
+	control.SetReadDeadline(by)
 	body, err := io.ReadAll(r.Body) // grows with what has come, whatever the length says
 	switch {
 	case errors.Is(err, os.ErrDeadlineExceeded):
@@ -218,6 +219,10 @@
 		return nil, http.StatusBadRequest, "the body is malformed"
 	}
 	control.SetReadDeadline(time.Time{}) // else it would end the wait for the client's going
+	if !time.Now().Before(by) {
+		// It may have ended it already, though the client is there: net/http begins that wait with the body's last byte.
+		return nil, http.StatusRequestTimeout, "the body does not come"
+	}
 	return body, 0, ""
 }
 
