--- a/internal/node/drain_test.go
+++ b/internal/node/drain_test.go
@@ -8,7 +8,10 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"net/netip"
+	"os"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -219,19 +222,54 @@
 	}
 }
 
-// lateBody brings its last byte when the time for it is over.
-type lateBody struct{ after <-chan time.Time }
+// lateBody brings its last byte when the time for it is over: that has begun before the first read.
+type lateBody struct{}
 
-func (b lateBody) Read(p []byte) (int, error) { <-b.after; p[0] = 'b'; return 1, io.EOF }
-func (lateBody) Close() error                 { return nil }
+func (lateBody) Read(p []byte) (int, error) { <-time.After(bodyWait); p[0] = 'b'; return 1, io.EOF }
+func (lateBody) Close() error               { return nil }
 
 // A body whose end crosses the deadline for it is told to be late: net/http's watch for the client's going may have
 // ended with that deadline, and the request would be taken for one whose client has left.
 func TestBodyCrossesItsDeadline(t *testing.T) {
 	t.Parallel()
-	r := httptest.NewRequest("POST", "/order", lateBody{time.After(bodyWait)})
+	r := httptest.NewRequest("POST", "/order", lateBody{})
 	r.ContentLength = 1
 	if _, status, fault := readBody(httptest.NewRecorder(), r); status != http.StatusRequestTimeout {
 		t.Errorf("status %d, %q", status, fault)
 	}
 }
+
+// A node that is told to end before it serves, and to read its configuration again while it drains, still answers what
+// the kernel has accepted for it.
+func TestEndAtTheStart(t *testing.T) {
+	t.Parallel()
+	tcp, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	conn, err := net.Dial("tcp", tcp.Addr().String()) // accepted by the kernel, and by nobody else so far
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	conn.SetDeadline(time.Now().Add(patient))
+	io.WriteString(conn, message("order", "9.5", "b"))
+	addr := backend(t, answering(func(*http.Request, []byte) string { return ok("x") }))
+	read := make(chan struct{}, 9)
+	c := &Config{Settings: settings(), Known: known(addr), Limits: Limits{Cores: 1, MemoryMB: 192, Sockets: 256}}
+	c.Discovery = netip.MustParseAddrPort(backend(t, func(c net.Conn) { io.Copy(io.Discard, c) }))
+	c.reread = func() (*Config, error) { read <- struct{}{}; return nil, errors.New("bad") }
+	ctx, stop := context.WithCancel(context.Background())
+	stop()
+	hup, ended := make(chan os.Signal, 1), make(chan error, 1)
+	hup <- syscall.SIGHUP
+	go func() { ended <- serve(ctx, c, tcp, hup, quiet) }()
+	if resp, err := http.ReadResponse(bufio.NewReader(conn), nil); err != nil || resp.StatusCode != 200 {
+		t.Errorf("%v, %v", resp, err)
+	}
+	<-read
+	conn.Close()
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+}
