Close behind an answer with no reset over what has come since

A reset may overtake the answer. The lines: Accept and refuse with clientConn.Close in admission.go.

What has come by then is now thrown away, bounded, before such a close. Connections that rest are closed as before with what has come unread: their client may send that again.

Tests of the renewed terms that passed as it was, kept as they guard a rule: the time told to a backend after a late connection and an earlier attempt, a key's window that ends while a repeat connects, readiness with discovery silent, refusing, cut or malformed, and answers cut without a length.

--- a/internal/node/admission.go
+++ b/internal/node/admission.go
@@ -16,7 +16,9 @@
 	freshLeast = 250 * time.Millisecond // one that has brought no request yet may go sooner: clients send at once
 	refuseWait = 20 * time.Millisecond  // to write a refusal to a new connection, whose buffer is empty
 	aheadLimit = 4 << 10                // bytes that a client sends behind an open request and that are kept for the next
-	refusal    = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 0.5\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+	// hangUpLimit bounds the bytes that are thrown away at a close. It is what net/http reads of a body for the same end.
+	hangUpLimit = 256 << 10
+	refusal     = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 0.5\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
 )
 
 // admission accepts clients' connections, always, and bounds them: at the bound the one that has waited longest
@@ -34,11 +36,12 @@
 // clientConn embeds *net.TCPConn: net/http would reset connections whose CloseWrite it doesn't see.
 type clientConn struct {
 	*net.TCPConn
-	raw   syscall.RawConn
-	owner *admission
-	once  sync.Once
-	open  atomic.Bool // a request is
-	ahead []byte      // what was read behind an open request; only one goroutine reads at a time
+	raw     syscall.RawConn
+	owner   *admission
+	once    sync.Once
+	open    atomic.Bool // a request is, or has just been answered
+	refused atomic.Bool // the node has answered what was no whole request yet
+	ahead   []byte      // what was read behind an open request; only one goroutine reads at a time
 
 	// Under the owner's lock.
 	in      *queue.List // that it waits in, if it does
@@ -67,12 +70,36 @@
 			return c, nil
 		}
 		a.stats.turnedAway.Add(1)
-		tcp.SetWriteDeadline(time.Now().Add(refuseWait))
-		io.WriteString(tcp, refusal)
-		tcp.Close()
+		turnAway(tcp)
 	}
 }
 
+// turnAway answers a connection that there is no room for.
+func turnAway(tcp *net.TCPConn) {
+	tcp.SetWriteDeadline(time.Now().Add(refuseWait))
+	io.WriteString(tcp, refusal)
+	hangUp(tcp)
+}
+
+// hangUp closes a connection behind its last answer. What has come meanwhile is thrown away: a close over unread bytes is
+// a reset, which may overtake the answer. Nobody waits for more, so that floods hold no descriptors.
+func hangUp(tcp *net.TCPConn) error {
+	tcp.CloseWrite()
+	if raw, err := tcp.SyscallConn(); err == nil {
+		raw.Control(func(fd uintptr) {
+			var rest [4 << 10]byte
+			for thrown := 0; thrown < hangUpLimit; {
+				n, _, err := syscall.Recvfrom(int(fd), rest[:], syscall.MSG_DONTWAIT)
+				if n <= 0 && err != syscall.EINTR {
+					return
+				}
+				thrown += max(0, n)
+			}
+		})
+	}
+	return tcp.Close()
+}
+
 func (a *admission) admit(tcp *net.TCPConn) *clientConn {
 	a.mu.Lock()
 	for a.count >= a.limit {
@@ -212,6 +239,7 @@
 
 // refuse writes an answer of the node's own where no request is open, so that nobody else writes.
 func (c *clientConn) refuse() {
+	c.refused.Store(true)
 	c.SetWriteDeadline(time.Now().Add(refuseWait))
 	io.WriteString(c.TCPConn, refusal)
 }
@@ -283,7 +311,11 @@
 func (c *clientConn) Close() error {
 	err := net.ErrClosed
 	c.once.Do(func() {
-		err = c.TCPConn.Close()
+		if c.open.Load() || c.refused.Load() {
+			err = hangUp(c.TCPConn)
+		} else { // a request that crosses the close stays unread: then its client may send it again
+			err = c.TCPConn.Close()
+		}
 		c.owner.mu.Lock()
 		defer c.owner.mu.Unlock()
 		c.leave()
--- /dev/null
+++ b/internal/node/terms_test.go
@@ -0,0 +1,285 @@
+package node
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"starlingvalve/decide"
+)
+
+// What has been answered and is then closed ends with the answer and no reset, though more has come behind what was
+// answered: a reset may take the answer with it.
+func TestNoResetBehindAnAnswer(t *testing.T) {
+	t.Parallel()
+	came := func(t *testing.T, c *net.TCPConn) {
+		raw, err := c.SyscallConn()
+		if err != nil {
+			t.Fatal(err)
+		}
+		eventually(t, "come", func() (there bool) {
+			raw.Control(func(fd uintptr) {
+				var next [1]byte
+				n, _, _ := syscall.Recvfrom(int(fd), next[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+				there = n > 0
+			})
+			return
+		})
+	}
+	reads := func(t *testing.T, conn net.Conn, want int) {
+		t.Helper()
+		conn.SetDeadline(time.Now().Add(patient))
+		r := bufio.NewReader(conn)
+		resp, err := http.ReadResponse(r, nil)
+		if err != nil || resp.StatusCode != want {
+			t.Fatalf("%v, %v, want %d", resp, err, want)
+		}
+		io.Copy(io.Discard, resp.Body)
+		if more, err := io.ReadAll(r); len(more) > 0 || err != nil {
+			t.Errorf("behind the answer: %q, %v", more, err)
+		}
+	}
+	request := message("read", "9.5", "")
+	t.Run("turned away", func(t *testing.T) {
+		_, c, client := pair(t)
+		io.WriteString(client, request)
+		came(t, c.TCPConn)
+		turnAway(c.TCPConn)
+		reads(t, client, 503)
+	})
+	t.Run("cut at the end", func(t *testing.T) {
+		a, c, client := pair(t)
+		io.WriteString(client, request)
+		came(t, c.TCPConn)
+		a.refuseRest()
+		reads(t, client, 503)
+	})
+	for name, text := range map[string]string{"rejected": "GET /read HTTP/1.1\r\nHost: h\r\n\r\n", "malformed": "\x16\x03\x01\r\n\r\n"} {
+		t.Run(name, func(t *testing.T) {
+			p := assemble(t, &Config{Settings: settings()})
+			conn, err := net.Dial("tcp", p.addr)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer conn.Close()
+			io.WriteString(conn, text+strings.Repeat("G", 20000)) // more than one read takes
+			reads(t, conn, 400)
+		})
+	}
+}
+
+// A backend is told no more time than is left to the client, however long a connection took to come up and whatever an
+// earlier attempt has used.
+func TestTimeTold(t *testing.T) {
+	t.Parallel()
+	const patience, gap = 9.5, 100 * time.Millisecond
+	told := make(chan string, 9)
+	first := make(chan struct{}, 1)
+	first <- struct{}{}
+	turn := make(chan struct{})
+	serve := answering(func(r *http.Request, _ []byte) string {
+		told <- r.Header.Get("X-Time-Left")
+		select {
+		case <-first:
+			<-turn
+			return "HTTP/1.1 503 Full\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n"
+		default:
+			return ok("x")
+		}
+	})
+	p := assemble(t, &Config{Settings: settings(), Known: known(backend(t, serve), backend(t, serve))})
+	b := p.loop.backends
+	dials, let, dial := make(chan struct{}, 9), make(chan struct{}, 9), b.dial
+	b.mu.Lock()
+	b.dial = func(ctx context.Context, network, addr string, deadline time.Time) (net.Conn, error) {
+		dials <- struct{}{}
+		<-let
+		return dial(ctx, network, addr, deadline)
+	}
+	b.mu.Unlock()
+	conn, err := net.Dial("tcp", p.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	conn.SetDeadline(time.Now().Add(patient))
+	var sent time.Time
+	left := func(attempt string, since time.Time) {
+		t.Helper()
+		seconds, err := strconv.ParseFloat(<-told, 64)
+		if most := patience - since.Sub(sent).Seconds(); err != nil || seconds > most {
+			t.Errorf("%s: told %v s (%v), have %.3f", attempt, seconds, err, most)
+		}
+	}
+	passed := func(since time.Time) time.Time {
+		eventually(t, "time", func() bool { return time.Since(since) >= gap })
+		return time.Now()
+	}
+	sent = time.Now()
+	io.WriteString(conn, message("read", strconv.FormatFloat(patience, 'f', -1, 64), ""))
+	<-dials
+	connected := passed(sent)
+	let <- struct{}{}
+	left("late connection", connected)
+	turned := passed(connected)
+	turn <- struct{}{}
+	<-dials
+	again := passed(turned)
+	let <- struct{}{}
+	left("further attempt", again)
+	if resp, err := http.ReadResponse(bufio.NewReader(conn), nil); err != nil || resp.StatusCode != 200 {
+		t.Errorf("%v, %v", resp, err)
+	}
+}
+
+// A repeat whose connection comes up only when backends have forgotten the key is not written, though the window is
+// shorter than connecting may take; with the key forgotten and the effect unknown the answer promises nothing.
+func TestWindowCrossesConnecting(t *testing.T) {
+	t.Parallel()
+	const window = 300 * time.Millisecond
+	came := make(chan time.Time, 9)
+	serve := func(c net.Conn) { // each attempt may have run
+		if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+			came <- time.Now()
+			c.(*net.TCPConn).SetLinger(0)
+		}
+	}
+	c := &Config{Settings: settings(), Known: known(backend(t, serve), backend(t, serve))}
+	for i := range c.Settings.Classes {
+		c.Settings.Classes[i].DedupWindow = window
+	}
+	p := assemble(t, c)
+	b := p.loop.backends
+	dials, let, dial := make(chan struct{}, 9), make(chan struct{}, 9), b.dial
+	b.mu.Lock()
+	b.dial = func(ctx context.Context, network, addr string, deadline time.Time) (net.Conn, error) {
+		dials <- struct{}{}
+		<-let
+		return dial(ctx, network, addr, deadline)
+	}
+	b.mu.Unlock()
+	conn, err := net.Dial("tcp", p.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	conn.SetDeadline(time.Now().Add(patient))
+	io.WriteString(conn, message("tag", "9.5", "b"))
+	<-dials
+	let <- struct{}{}
+	ran := <-came
+	<-dials
+	eventually(t, "the window's end", func() bool { return time.Since(ran) > window })
+	let <- struct{}{}
+	if resp, err := http.ReadResponse(bufio.NewReader(conn), nil); err != nil || resp.StatusCode != 502 {
+		t.Errorf("%v, %v", resp, err)
+	}
+	if len(came) > 0 {
+		t.Error("written past the window")
+	}
+}
+
+// A node that starts is ready by the list that it had, whatever discovery does: while its first call hangs, and after
+// calls that are refused, cut or answered with what is no list.
+func TestReadyWhateverDiscoveryDoes(t *testing.T) {
+	t.Parallel()
+	closed, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	closed.Close()
+	for name, serve := range map[string]func(net.Conn){
+		"silent":  func(c net.Conn) { io.Copy(io.Discard, c) },
+		"refuses": nil,
+		"resets":  func(c net.Conn) { c.(*net.TCPConn).SetLinger(0) },
+		"503": answering(func(*http.Request, []byte) string {
+			return "HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n"
+		}),
+		"no list": answering(func(*http.Request, []byte) string { return ok("what") }),
+		"drips": func(c net.Conn) {
+			if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+				io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\n{")
+				io.Copy(io.Discard, c)
+			}
+		},
+	} {
+		for _, pushed := range []bool{false, true} {
+			t.Run(name+map[bool]string{true: ", pushed"}[pushed], func(t *testing.T) {
+				t.Parallel()
+				c := &Config{Settings: settings()}
+				c.Settings.AskForList = !pushed
+				c.Known = known(backend(t, answering(func(*http.Request, []byte) string { return ok("x") })))
+				c.Discovery = netip.MustParseAddrPort(closed.Addr().String())
+				if serve != nil {
+					c.Discovery = netip.MustParseAddrPort(backend(t, serve))
+				}
+				began := time.Now()
+				n := start(t, c)
+				n.waitReady(t, 200)
+				if took := time.Since(began); took >= callSlack { // longer than a call is waited for
+					t.Errorf("ready after %v", took)
+				}
+				if resp, _ := n.ask(t, message("order", "9.5", "b")); resp.StatusCode != 200 {
+					t.Errorf("status %d", resp.StatusCode)
+				}
+			})
+		}
+	}
+}
+
+// An answer without a length that is reset on its way is not whole, whatever has come of it, and neither is one whose
+// end is a close, which may be a backend's that has died: nothing of it comes to the client.
+func TestCutAnswerIsNone(t *testing.T) {
+	t.Parallel()
+	for _, reset := range []bool{true, false} {
+		read := make(chan struct{})
+		addr := backend(t, func(c net.Conn) {
+			if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+				return
+			}
+			io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\nall of a body that looks whole")
+			<-read // it is in the node's hands before the end comes
+			if reset {
+				c.(*net.TCPConn).SetLinger(0)
+			}
+		})
+		b := newBackends(&Config{Settings: settings(), Limits: Limits{MemoryMB: 192}}, 10, quiet)
+		b.dial = func(ctx context.Context, network, addr string, _ time.Time) (net.Conn, error) {
+			c, err := net.Dial(network, addr)
+			return &tellsOfReads{c.(*net.TCPConn), read, false}, err
+		}
+		b.update(known(addr))
+		r := b.do(t.Context(), b.find(1), get(patient))
+		if r.code != decide.Reset || len(r.body) > 0 || r.client != 0 {
+			t.Errorf("reset %v: %v, %q (%v)", reset, r.code, r.body, r.err)
+		}
+		if reset == errors.Is(r.err, errTruncated) {
+			t.Errorf("reset %v: %v", reset, r.err)
+		}
+	}
+}
+
+// tellsOfReads closes read once something has been read.
+type tellsOfReads struct {
+	*net.TCPConn
+	read chan struct{}
+	told bool
+}
+
+func (c *tellsOfReads) Read(p []byte) (int, error) {
+	n, err := c.TCPConn.Read(p)
+	if n > 0 && !c.told {
+		c.told = true
+		close(c.read)
+	}
+	return n, err
+}
