See a client go, or cut it, that sends over 4 KB behind its open request

The line: clientConn.Read in admission.go ended net/http's watch after 4 KB with a byte of what had come.

Checked: closes and resets behind less than that were seen before. More is kept now, up to a whole request or an even part of a sixteenth of the memory; a client that sends still more is cut with an error, as it may send one request at a time. What fits is served in its turn as before.

--- a/internal/node/admission.go
+++ b/internal/node/admission.go
@@ -2,6 +2,7 @@
 
 import (
 	queue "container/list"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -12,10 +13,11 @@
 )
 
 const (
-	idleLeast  = 2 * time.Second        // a connection without a request is kept so long at least
-	freshLeast = 250 * time.Millisecond // one that has brought no request yet may go sooner: clients send at once
-	refuseWait = 20 * time.Millisecond  // to write a refusal to a new connection, whose buffer is empty
-	aheadLimit = 4 << 10                // bytes that a client sends behind an open request and that are kept for the next
+	idleLeast  = 2 * time.Second         // a connection without a request is kept so long at least
+	freshLeast = 250 * time.Millisecond  // one that has brought no request yet may go sooner: clients send at once
+	refuseWait = 20 * time.Millisecond   // to write a refusal to a new connection, whose buffer is empty
+	aheadLeast = 4 << 10                 // bytes that a client sends behind an open request and that are kept for the next:
+	aheadMost  = headerLimit + bodyLimit // a whole one at most
 	// hangUpLimit bounds the bytes that are thrown away at a close. It is what net/http reads of a body for the same end.
 	hangUpLimit = 256 << 10
 	refusal     = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 0.5\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
@@ -26,6 +28,7 @@
 type admission struct {
 	*net.TCPListener
 	limit int
+	ahead int // bytes behind an open request that are kept
 	stats *stats
 
 	mu          sync.Mutex
@@ -56,7 +59,7 @@
 }
 
 func newAdmission(l *net.TCPListener, limit int) *admission {
-	return &admission{TCPListener: l, limit: limit, stats: &stats{}, fresh: queue.New(), idle: queue.New()}
+	return &admission{TCPListener: l, limit: limit, ahead: aheadMost, stats: &stats{}, fresh: queue.New(), idle: queue.New()}
 }
 
 func (a *admission) Accept() (net.Conn, error) {
@@ -135,8 +138,11 @@
 	return a.count
 }
 
+var errFlood = errors.New("the client floods behind an open request")
+
 // Read reads for net/http. While a request is open that reads a single byte, to see the client's going, and a byte that
-// comes would end its watch: what comes is kept here instead, until the request is answered.
+// comes would end its watch: what comes is kept here instead, until the request is answered. A client sends one request at
+// a time: one that sends more than can be kept is cut, or its going would stay unseen behind what it has sent.
 func (c *clientConn) Read(p []byte) (int, error) {
 	if len(c.ahead) > 0 && !(len(p) == 1 && c.open.Load()) {
 		n := copy(p, c.ahead)
@@ -146,7 +152,7 @@
 	if len(p) != 1 || !c.open.Load() {
 		return c.receive(p)
 	}
-	for len(c.ahead) < aheadLimit {
+	for len(c.ahead) <= c.owner.ahead {
 		var next [512]byte
 		n, err := c.receive(next[:])
 		if err != nil {
@@ -154,9 +160,7 @@
 		}
 		c.ahead = append(c.ahead, next[:n]...)
 	}
-	p[0] = c.ahead[0] // so much that the watch has to end
-	c.ahead = c.ahead[1:]
-	return 1, nil
+	return 0, errFlood
 }
 
 // longest gives the connection that is to make room, if one may be closed, and shuts it. One of which nothing has been
--- a/internal/node/left_test.go
+++ b/internal/node/left_test.go
@@ -73,6 +73,7 @@
 	"resets":           func(c *net.TCPConn) { c.SetLinger(0); c.Close() },
 	"stops sending":    func(c *net.TCPConn) { c.CloseWrite() },
 	"sends more, goes": func(c *net.TCPConn) { io.WriteString(c, strings.Repeat("G", 1000)); c.Close() },
+	"floods, goes":     func(c *net.TCPConn) { io.WriteString(c, strings.Repeat("G", aheadMost+1000)); c.Close() },
 }
 
 // What nothing has been written of when its client leaves is not sent on, wherever it waits and whatever it is: in the
@@ -232,7 +233,7 @@
 	ended := make(chan struct{})
 	go func() { srv.Serve(door); close(ended) }()
 	t.Cleanup(func() { srv.Close(); <-ended })
-	for _, size := range []int{1, aheadLimit / 2, aheadLimit * 4} {
+	for _, size := range []int{1, 2 << 10, 16 << 10} {
 		conn, err := net.Dial("tcp", tcp.Addr().String())
 		if err != nil {
 			t.Fatal(err)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -16,6 +16,7 @@
 	ownSockets = 24
 	clientPart = 0.6
 	bodyPart   = 1.0 / 8
+	aheadPart  = 16 // of the memory, for what clients send behind open requests
 
 	// SIGTERM: connections come for 0.4 s more; the rest is for the accept queue. Clients go on using those that
 	// they have, and SIGKILL comes killAfter after the longest deadline, which counts for 3 s at most.
@@ -51,6 +52,7 @@
 	l := newLoop(inner, c, b, newDiscovery(c.Discovery, log), p, log)
 	f := newFrontend(l, int64(bodyPart*float64(c.Limits.MemoryMB<<20)), log)
 	door := newAdmission(tcp, clients)
+	door.ahead = min(aheadMost, max(aheadLeast, c.Limits.MemoryMB<<20/aheadPart/clients))
 	count := &stats{}
 	b.stats, f.stats, door.stats = count, count, count
 	srv := f.server(door)
--- a/internal/node/terms_test.go
+++ b/internal/node/terms_test.go
@@ -283,3 +283,24 @@
 	}
 	return n, err
 }
+
+// A client that sends more behind an open request than can be kept is cut, with an error: nobody would see it go.
+func TestFloodBehindARequestIsCut(t *testing.T) {
+	t.Parallel()
+	came, let := make(chan struct{}, 9), make(chan struct{})
+	addr := backend(t, answering(func(*http.Request, []byte) string { came <- struct{}{}; <-let; return ok("x") }))
+	n := start(t, &Config{Settings: settings(), Known: known(addr)})
+	t.Cleanup(func() { close(let) })
+	conn, err := net.Dial("tcp", n.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	conn.SetDeadline(time.Now().Add(patient))
+	io.WriteString(conn, message("read", "19.5", ""))
+	<-came
+	go io.WriteString(conn, strings.Repeat("G", 4<<20))
+	if resp, err := http.ReadResponse(bufio.NewReader(conn), nil); err != nil || resp.StatusCode != 400 || !resp.Close {
+		t.Errorf("%v, %v", resp, err)
+	}
+}
