Start with a known list that is null, as one that has never had a list

Seen reading config.go line by line: "known": null ended the start with 'list: version is missing', as only an absent field counted as none (readConfig). The test fails without the mend. A malformed list still ends the start with one message.

A second SIGTERM during the drain is now sent by a test, which passed as it was.

--- a/cmd/starlingvalve/main_test.go
+++ b/cmd/starlingvalve/main_test.go
@@ -76,6 +76,9 @@
 		cmd.Process.Signal(s)
 	}
 	for lines.Scan() {
+		if strings.Contains(lines.Text(), "msg=draining") { // a second one ends it no sooner
+			cmd.Process.Signal(syscall.SIGTERM)
+		}
 	}
 	if err := cmd.Wait(); err != nil {
 		t.Error(err)
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -131,7 +131,7 @@
 	if c.Limits.Sockets < leastSockets || c.Limits.MemoryMB < leastMemoryMB || c.Limits.Cores < 0 {
 		return nil, fmt.Errorf("%s: limits: want %d sockets and %d MB of memory at least, have %+v", path, leastSockets, leastMemoryMB, c.Limits)
 	}
-	if in.Known != nil {
+	if in.Known != nil && string(in.Known) != "null" { // a node that has never had a list
 		if c.Known, err = decodeList(in.Known); err != nil {
 			return nil, fmt.Errorf("%s: known: %w", path, err)
 		}
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -1151,6 +1151,9 @@
 			t.Errorf("%s for %s: error %v", bad[1], bad[0], err)
 		}
 	}
+	if c, err := load(strings.Replace(good, `{"version":4,"full":true,"servers":[]}`, "null", 1), nil); err != nil || len(c.Known.entries) > 0 {
+		t.Errorf("no list known: %v", err)
+	}
 	c, err = load(good, map[string]string{"GW_DISCOVERY": "127.0.0.1:98"})
 	if err != nil || c.Discovery.Port() != 98 {
 		t.Errorf("%+v, %v", c, err)
