Take the least latency from fifty answers, not from a node's first

The line: survey set least at the first answer and let it fall only from fifty on. It now follows the mean until then.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -144,7 +144,7 @@
 	m.settled = m.settled || tried > 0
 	m.learned = rate > 0 && m.answers >= 2*float64(len(m.near))
 	grow := 1 + tickEvery.Seconds()/memoryTau
-	if m.least *= grow; m.least == 0 || m.answers >= 1/classGain && m.mean < m.least*(1-baseNoise) {
+	if m.least *= grow; m.answers < 1/classGain || m.mean < m.least*(1-baseNoise) { // few answers tell no least
 		m.least = m.mean / (1 - baseNoise) // the least of a noisy mean is below its true value
 	}
 	full := m.held / math.Max(m.busy, leastFull)
--- a/decide/many_test.go
+++ b/decide/many_test.go
@@ -293,3 +293,18 @@
 		}
 	}
 }
+
+// The first answer may be that of a short request: a node that took it for the least latency that there is would hold all
+// servers for crowded from then on, and refuse nearly all.
+func TestFirstAnswerIsNotTheLeast(t *testing.T) {
+	m := New(sparseSettings(600), 3)
+	m.Handle(time.Hour, sparseList(180))
+	_, now := drive(m, time.Hour, 1, 5*time.Millisecond, nil)
+	quiet, now := drive(m, now, 20, 60*time.Millisecond, nil)
+	if quiet["dear"] < 39 || quiet["cheap"] < 39 {
+		t.Errorf("after quick first answers %v sent of 40 each", quiet)
+	}
+	if jammed, _ := drive(m, now, 10, 700*time.Millisecond, nil); jammed["cheap"] > 10 {
+		t.Errorf("jammed: %v sent of 20 each", jammed)
+	}
+}
