Bound a node's subset by the room in servers' tables of connections

By the nodes' logs, in the first 5 s 10,708 of 20,187 attempts were turned away, and of those logged 4,376 of 4,841 on a connection that had carried nothing before; three in four attempts opened one. A node used 26 servers, so each server was used by 51 nodes, with room for 14 to 20 connections.

The lines: choose sized a subset by the node's arrivals alone, and turned-away clients who come again made it larger. Now what is turned away on new connections, beyond what full queues turn away on any, shrinks it; the network code tells of each attempt whether it opened its connection.

The status lines tell the parts turned away, and rates in hundredths.

--- a/decide/api.go
+++ b/decide/api.go
@@ -233,6 +233,7 @@
 		Elapsed time.Duration
 		Code    OutcomeCode
 		Report  *Report // nil if none came
+		Opened  bool    // it was the first on its connection, which a full table of connections turns away
 	}
 	// StreamStarted says that a streamed answer has begun.
 	StreamStarted struct {
--- a/decide/state.go
+++ b/decide/state.go
@@ -108,6 +108,9 @@
 	mean, base, aimed  float64 // s: smoothed latency; uncrowded; at which every class still meets its aim
 	arrivals, rate     float64 // requests that come each second, smoothed; the same, unbiased from the first one on
 	size               float64 // servers that the subset is to have
+	tables             float64 // the same, at most: what servers' tables of connections have room for
+	turnedNew          float64 // part of the attempts on new connections that are turned away, smoothed
+	turnedOld          float64 // the same on connections that were there
 	arrivedAt, startAt Time
 	choices            int     // of subsets, so far
 	fleetRate, peak    float64 // answers each second that the mean server is able to; the most that this has been
@@ -135,7 +138,7 @@
 func New(s Settings, seed int64) *Module {
 	m := &Module{set: s, rng: uint64(seed)*2 + 1, budget: retryBurst, classes: map[string]*class{},
 		tenants: map[string]*tenant{}, known: map[ServerID]*server{}, requests: map[RequestID]*request{}}
-	m.set.Nodes = max(1, s.Nodes)
+	m.set.Nodes, m.tables = max(1, s.Nodes), math.Inf(1)
 	m.share = 1 / float64(m.set.Nodes)
 	if !s.HoldOffs {
 		m.set.MaxHoldOff = 0
@@ -208,12 +211,12 @@
 		"by_count=%v by_mode=%v suspect=%d cold=%d",
 		t.arrived, t.sent, t.refused, t.failed, t.noServer, t.shed, t.ended, t.byCount, t.byMode, t.suspect, t.cold)})
 	m.do(Log{fmt.Sprintf("sizes servers=%d/%d n=%.2f H=%.2f q1=%.2f q2=%.2f share=%.2f rate=%.2f peak=%.2f "+
-		"failing=%.3f mean=%.3f base=%.3f aimed=%.3f least=%.3f full=%.1f typical=%.1f",
-		len(m.near), len(m.list), n/servers, h/servers, m.q1, m.q2, m.share, m.fleetRate, m.peak, m.failing, m.mean, m.base, m.aimed, m.least, m.full(), m.typical)})
+		"failing=%.3f mean=%.3f base=%.3f aimed=%.3f least=%.3f full=%.1f typical=%.1f turned_away=%.2f/%.2f",
+		len(m.near), len(m.list), n/servers, h/servers, m.q1, m.q2, m.share, m.fleetRate, m.peak, m.failing, m.mean, m.base, m.aimed, m.least, m.full(), m.typical, m.turnedNew, m.turnedOld)})
 	var fleet strings.Builder
 	for _, s := range m.near {
 		_, h := m.crowd(s)
-		fmt.Fprintf(&fleet, " %d:n=%.0f,H=%.0f,rate=%.0f,util=%.2f,told=%.0f,latency=%.3f,mode=%d", s.ID, s.n, h, m.rateOf(s), m.utilOf(s), s.report,
+		fmt.Fprintf(&fleet, " %d:n=%.0f,H=%.0f,rate=%.2f,util=%.2f,told=%.0f,latency=%.3f,mode=%d", s.ID, s.n, h, m.rateOf(s), m.utilOf(s), s.report,
 			m.latencyOf(s), s.mode)
 		if s.suspect {
 			fleet.WriteString(",suspect")
@@ -231,6 +234,20 @@
 	m.tally = tally{since: m.now}
 }
 
+// door keeps account of what is turned away, on new connections and on those that were there.
+func (m *Module) door(e AttemptEnded) {
+	part := &m.turnedOld
+	if e.Opened {
+		part = &m.turnedNew
+	}
+	switch e.Code {
+	case Full:
+		*part += tableGain * (1 - *part)
+	case OK:
+		*part -= tableGain * *part
+	}
+}
+
 func decay(since time.Duration, tau float64) float64 { return math.Exp(-since.Seconds() / tau) }
 
 // mix spreads the bits of a number (splitmix64).
--- a/internal/node/backend.go
+++ b/internal/node/backend.go
@@ -391,6 +391,7 @@
 	client int // the status of an answer that puts the fault with the client
 	err    error
 	conn   connFacts
+	opened bool // the request was the first to be written on its connection
 }
 
 // do makes an exchange and blocks until it is over. An end of ctx calls it off.
@@ -442,7 +443,7 @@
 	stop := context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) })
 	r, keep := b.roundTrip(c, x)
 	stopped := stop()
-	r.conn = facts
+	r.conn, r.opened = facts, facts.uses == 0
 	if facts.uses > 0 && (r.err == nil || r.code == decide.Reset && ctx.Err() == nil) {
 		b.mu.Lock()
 		b.idle.note(time.Now(), facts.idle, r.err != nil && c.left.N == headLimit)
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -301,7 +301,7 @@
 		delete(l.requests, a.ID)
 	}
 	l.handle(decide.AttemptEnded{ID: a.ID, Attempt: n, Server: a.Server, Over: r.over, Elapsed: time.Since(t.sent),
-		Code: res.code, Report: res.report})
+		Code: res.code, Report: res.report, Opened: res.opened})
 }
 
 // faultOf and clip bound what a fault puts into the log: it may quote what a peer sent.
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -517,9 +517,14 @@
 		for _, idle := range h.idle {
 			idle.since = time.Now().Add(-c.rested)
 		}
-		if r := b.do(t.Context(), h, get(patient)); r.code != decide.OK || b.open != c.open {
+		open := b.open
+		r := b.do(t.Context(), h, get(patient))
+		if r.code != decide.OK || b.open != c.open {
 			t.Errorf("rested %v: %v, %d open, want %d", c.rested, r.code, b.open, c.open)
 		}
+		if r.opened != (b.open > open) {
+			t.Errorf("rested %v: opened %v, connections %d and then %d", c.rested, r.opened, open, b.open)
+		}
 	}
 	b.update(list{full: true})
 }
