Keep apart backends whose names give one number

Seen reading discovery.go: a name's number is its last eight hex digits or a hash (serverID), so that web- and db- were one backend: the later entry took the other's address, and of both only one was used. The test fails without the mend; in it backends answer by name, in several orders, also after one has gone and come back.

Checked: numbers are the same at every node but for such a pair. Of two changes to a backend in one answer the last one holds, as it did.

--- a/internal/node/crossings_test.go
+++ b/internal/node/crossings_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/netip"
 	"net/url"
+	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -156,3 +159,55 @@
 		t.Errorf("%d failing calls took %v with a grace of %v", failing, took, c.Settings.DrainGrace)
 	}
 }
+
+// Two backends whose names give one number stay two, in whatever order they are listed, also when one of them goes and
+// comes back; of two changes to one backend in an answer the last one holds.
+func TestNamesThatGiveOneNumber(t *testing.T) {
+	t.Parallel()
+	answers := func(text string) string {
+		return backend(t, answering(func(*http.Request, []byte) string { return ok(text) }))
+	}
+	addrs := map[string]string{"web-00000001": answers("web"), "db-00000001": answers("db"), "x-00000002": answers("x")}
+	told := func(full bool, states ...string) list {
+		var servers []string
+		for i := 0; i < len(states); i += 2 {
+			servers = append(servers, fmt.Sprintf(`{"id":%q,"addr":%q,"state":%q}`, states[i], addrs[states[i]], states[i+1]))
+		}
+		l, err := decodeList(fmt.Appendf(nil, `{"version":1,"full":%v,"servers":[%s]}`, full, strings.Join(servers, ",")))
+		if err != nil {
+			t.Fatal(err)
+		}
+		return l
+	}
+	p := assemble(t, &Config{Settings: settings()})
+	for i, c := range []struct {
+		news list
+		want string
+	}{
+		{told(true, "web-00000001", "ready", "db-00000001", "ready", "x-00000002", "ready"), "db web x"},
+		{told(false, "web-00000001", "draining"), "db x"},
+		{told(false, "web-00000001", "ready"), "db web x"},
+		{told(false, "web-00000001", "gone"), "db x"},
+		{told(false, "web-00000001", "ready", "x-00000002", "gone"), "db web"},
+		{told(true, "db-00000001", "ready"), "db"},
+		{told(true, "x-00000002", "ready", "web-00000001", "ready", "db-00000001", "ready"), "db web x"},
+		{told(false, "x-00000002", "ready", "x-00000002", "draining", "db-00000001", "draining", "db-00000001", "ready"), "db web"},
+	} {
+		var hosts []*host
+		p.in(func() {
+			p.loop.news(c.news)
+			for id := range p.loop.ready {
+				hosts = append(hosts, p.loop.backends.find(id))
+			}
+		})
+		var got []string
+		for _, h := range hosts {
+			r := p.loop.backends.do(t.Context(), h, get(patient))
+			got = append(got, string(r.body))
+		}
+		slices.Sort(got)
+		if text := strings.Join(got, " "); text != c.want {
+			t.Errorf("list %d: %q answer, want %q", i, text, c.want)
+		}
+	}
+}
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -43,7 +43,7 @@
 
 type entry struct {
 	decide.Server
-	addr string
+	name, addr string
 }
 
 var states = map[string]decide.ServerState{"ready": decide.Ready, "draining": decide.Draining, "gone": decide.Gone}
@@ -79,7 +79,7 @@
 		if _, err := netip.ParseAddrPort(s.Addr); err != nil && state != decide.Gone {
 			return list{}, fmt.Errorf("list, entry %d: %w", i, err)
 		}
-		l.entries = append(l.entries, entry{addr: s.Addr, Server: decide.Server{ID: serverID(s.ID), Zone: s.Zone, Kind: s.Kind,
+		l.entries = append(l.entries, entry{name: s.ID, addr: s.Addr, Server: decide.Server{ID: serverID(s.ID), Zone: s.Zone, Kind: s.Kind,
 			Cell: s.Cell, State: state, Size: s.Weight, StartedAt: time.Duration(min(max(0, s.Started), latestStart)) * time.Millisecond}})
 	}
 	return l, nil
@@ -98,6 +98,37 @@
 	return decide.ServerID(h.Sum32())
 }
 
+// names keeps apart backends whose names give one number: the one that is listed later gets the next free one.
+type names struct {
+	ids  map[string]decide.ServerID
+	used map[decide.ServerID]bool
+}
+
+func newNames() *names {
+	return &names{ids: map[string]decide.ServerID{}, used: map[decide.ServerID]bool{}}
+}
+
+// number puts the numbers that this node uses into a list. A name that is gone gives its number back.
+func (n *names) number(l list) {
+	listed := map[string]bool{}
+	for i := range l.entries {
+		e := &l.entries[i]
+		id, known := n.ids[e.name]
+		if !known {
+			for id = e.ID; n.used[id]; id++ {
+			}
+			n.ids[e.name], n.used[id] = id, true
+		}
+		e.ID, listed[e.name] = id, e.State != decide.Gone
+	}
+	for name, id := range n.ids {
+		if there, told := listed[name]; told && !there || l.full && !told {
+			delete(n.ids, name)
+			delete(n.used, id)
+		}
+	}
+}
+
 // discovery asks for the list of backends, at one address. Its calls go out on connections of its own.
 type discovery struct {
 	addr   netip.AddrPort
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -81,6 +81,7 @@
 	queue     []decide.Event
 	handling  bool
 	ready     map[decide.ServerID]bool
+	names     *names
 	version   *uint64 // of the list
 	endWatch  context.CancelFunc
 	watchOpen bool // the watch has had its first answer
@@ -91,7 +92,7 @@
 	now := time.Now()
 	return &loop{module: decide.New(c.Settings, c.Seed), settings: c.Settings, backends: b, disco: d, peers: p, log: log,
 		ctx: ctx, happened: make(chan func(), eventQueue), began: now, base: time.Duration(now.UnixNano()),
-		requests: map[decide.RequestID]*request{}, ready: map[decide.ServerID]bool{}}
+		requests: map[decide.RequestID]*request{}, ready: map[decide.ServerID]bool{}, names: newNames()}
 }
 
 // now is the module's clock: it goes on evenly from the time of day at the start, so that the times at which
@@ -451,6 +452,7 @@
 // follow takes a list: connections first, so that nothing goes where the list says no.
 func (l *loop) follow(n list, kind decide.ListKind) {
 	l.version = &n.version
+	l.names.number(n)
 	l.backends.update(n)
 	if n.full {
 		clear(l.ready)
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -101,7 +101,7 @@
 func known(addrs ...string) list {
 	l := list{version: 1, full: true}
 	for i, a := range addrs {
-		l.entries = append(l.entries, entry{addr: a, Server: decide.Server{ID: decide.ServerID(i + 1), Zone: "z", State: decide.Ready, Size: 1}})
+		l.entries = append(l.entries, entry{name: fmt.Sprintf("s-%08x", i+1), addr: a, Server: decide.Server{ID: decide.ServerID(i + 1), Zone: "z", State: decide.Ready, Size: 1}})
 	}
 	return l
 }
