Pace cold servers at half of the load that makes them fall, not at the least they can do

Of 1,714 pairs of a node and a new backend 947 were in normal mode and got nothing: their budget was spent.

The line: paced refills budgets by the least that the settings say a cold server can do by its age, until its own reports tell more, some 4 s later; most can do twice that. Budgets now sum up to half of what would make it fall (overload_factor), never less than before.

Ruled out: want of requests (nodes refused), blocking by count (modes), handshakes and discovery (7 failed calls after the start).

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -29,6 +29,7 @@
 	worthPart   = 0.5                    // of the top worth: classes of like worth are not night and day
 	leastWindow = 2.0                    // requests of all nodes at a server, at least, learned or not
 	coldStart   = 4.0                    // 1/s, of all nodes to a cold server with no warm one to compare
+	coldPart    = 0.5                    // of the load that makes a cold server fall, for all nodes together
 	anchor      = 0.3                    // part of H drawn from the fleet: own noise must not starve a server
 	leastShare  = 0.25                   // of an even part of all nodes' requests: what is less is noise
 	leastUtil   = 0.1                    // of a server's cores: a report of less says little of what it could do
@@ -520,16 +521,19 @@
 	return m.set.ColdFrom + (1-m.set.ColdFrom)*math.Max(0, warm)
 }
 
-// paced tells whether a cold server's budget is spent. It is refilled with the part that the server can do by
+// paced tells whether a cold server's budget is spent. It is refilled by the part that the server can do by
 // now of this node's share of a warm one's capacity: the budgets of all nodes then sum up to what it can do.
 // What the warm ones answer just now would be too little: a release that makes most servers cold cuts it,
-// and with it the budgets. Nodes that do not have it in their subsets send nothing.
+// and with it the budgets. Nodes that do not have it in their subsets send nothing. The settings tell the
+// least that it can do; most can do more, and what it holds tells if not: so budgets are of half the load
+// that would make it fall.
 func (m *Module) paced(s *server) bool {
 	part := m.warmth(s)
 	if !s.cold {
 		return false
 	}
-	rate := part * math.Max(m.fleetRate, coldStart/float64(m.set.Nodes))
+	rate := math.Max(1, coldPart*m.set.OverloadFactor) * math.Max(m.fleetRate, coldStart/float64(m.set.Nodes))
+	rate *= part
 	if m.seasoned(s) { // it has told by now what it can do itself; the warm ones may be few, and slow
 		rate = math.Max(rate, m.capacityOf(s))
 	}
--- a/decide/threshold_test.go
+++ b/decide/threshold_test.go
@@ -123,6 +123,29 @@
 	}
 }
 
+// Before a cold server has told what it can do, it gets more than the settings say that it can do at least, as most can
+// do more and the warm ones refuse; and far less than what would make it fall.
+func TestColdServersGetHalfOfWhatMakesThemFall(t *testing.T) {
+	f := newFlow(6)
+	f.m.set.OverloadFactor, f.m.set.OverloadTime = 3, 2*time.Second
+	f.run(30 * time.Second)
+	cold := ListUpdate{Kind: ListChanges, Version: 1}
+	for id := ServerID(1); id <= 4; id++ {
+		cold.Entries = append(cold.Entries, Server{ID: id, StartedAt: f.now})
+		f.started[id] = f.now - 5*time.Second // it starts with 0.4 of its capacity, and 0.2 is what is told
+	}
+	f.m.Handle(f.now, cold)
+	clear(f.sent)
+	const length = 3.0
+	f.run(length * time.Second)
+	least := flowRate * length * (0.2 + 0.8*length/2/20)
+	for id := ServerID(1); id <= 4; id++ {
+		if got := float64(f.sent[id]); got < 1.2*least || got > 1.8*least {
+			t.Errorf("cold server %d had %.0f requests in 3 s; it can do %.0f at least, and falls at %.0f", id, got, least, 3*least)
+		}
+	}
+}
+
 // What a new server's first reports say is late: it tells of a process that had no load yet.
 func TestFirstReportsAreOfIdleTime(t *testing.T) {
 	f := newFlow(6)
