Take servers that are left to hold the more at once when the list tells that others go

They had turned slow for good, as crowded ones may at this site.

The lines: heldBy goes by reports alone. These are refreshed each second, sent late, and heard of once a second by each of many nodes: nodes crowd those that are left before any report can tell, though the list has told at once. Now reports count for as much more as the ready servers can do less (follow, ableNow), until reports are of the new list.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -56,6 +56,7 @@
 	holdPart    = 0.15                   // part of the aim a refused client is told to wait, jittered
 	askFirst    = 200 * time.Millisecond // s; wait before a list is asked for again; doubles
 	subsetTime  = 1.0                    // s; a subset's server is tried so often: its news holds for a validity
+	surgeTau    = 1.0                    // s; reports are of the list that there was for about so long
 	typicalTau  = 1.0                    // s; smoothing of what servers hold: one validity
 	recentTau   = 2.0                    // s; smoothing of the faster mean of latencies
 	subsetLeast = 8.0                    // servers; fewer leave no choice once a part of them is in trouble
@@ -212,7 +213,8 @@
 	if s.cold && s.reportAt <= s.since {
 		return 0
 	}
-	return math.Max(0, m.typical*decay(m.now-m.typicalAt, staleTau)+s.over*decay(m.now-s.reportAt, staleTau))
+	held := m.typical*decay(m.now-m.typicalAt, staleTau) + s.over*decay(m.now-s.reportAt, staleTau)
+	return math.Max(0, held*(1+m.surge*decay(m.now-m.surgeAt, surgeTau)))
 }
 
 // mute tells whether a server has not answered for a time in which the fleet's mean request is long done.
@@ -794,6 +796,7 @@
 	if e.Kind != ListCached && m.asking {
 		m.subscribed, m.asking, m.askWait = true, false, askFirst
 	}
+	before := m.ableNow()
 	if e.Kind != ListChanges {
 		for _, s := range m.list {
 			s.State = Gone
@@ -818,9 +821,20 @@
 	}
 	sort.Slice(m.list, func(i, j int) bool { return m.list[i].place < m.list[j].place })
 	m.ring = slices.DeleteFunc(slices.Clone(m.list), func(s *server) bool { return s.State != Ready })
+	if after := m.ableNow(); after > 0 && before > after { // those that are left will hold the more
+		m.surge, m.surgeAt = before/after*(1+m.surge*decay(m.now-m.surgeAt, surgeTau))-1, m.now
+	}
 	m.choose()
 }
 
+// ableNow is what all ready servers can do by now, in warm ones.
+func (m *Module) ableNow() (sum float64) {
+	for _, s := range m.ring {
+		sum += m.warmth(s)
+	}
+	return sum
+}
+
 // ask keeps a subscription where the list must be asked for: spread at the start, backing off after
 // failures.
 func (m *Module) ask() {
--- a/decide/state.go
+++ b/decide/state.go
@@ -123,6 +123,8 @@
 	heldAt             Time
 	typical            float64 // what servers hold by their reports, smoothed; at typicalAt
 	typicalAt          Time
+	surge              float64 // by what part more servers hold than they report, as others have gone; at surgeAt
+	surgeAt            Time
 	room               float64 // the least that their quotient has been
 	n1, n2, q1, q2     float64 // priority and other arrivals of this period; drop probabilities
 	fill, ticks        float64 // sum of how far the fleet was above H, over this period's ticks
