Have a restarted node ask its peers for the sizes of ordinary work

Old servers held 17, 21, 29, 31 and then 36 requests; from 20 s on 7,100 attempts timed out in 5 s, one of four, a fifth of the answers came late, and it did not end.

The lines: room, base and least in survey are the least that a node itself has seen, and a restarted node sees only the jam. It takes that for ordinary work, its H is twice that of the others, and it keeps the jam up. Ruled out: trials (suspects are few until 15 s), cold servers (utilisation 0.54, below the old ones'), discovery.

A node that starts now asks three others, four times at most, where the settings allow messages. Those answer that have known the sizes for 10 s or more, also by being told; the oldest knowledge goes first. Where nobody answers all is as before. Messages are bounded, and what makes no sense in them is passed over.

--- a/decide/api.go
+++ b/decide/api.go
@@ -3,7 +3,8 @@
 // refused. It does no I/O, reads no clock and starts no goroutine: the caller
 // feeds it events and carries out the actions it returns.
 //
-// This file is the interface; all decisions are in decide.go.
+// This file is the interface; all decisions are in decide.go, and what nodes tell
+// each other for them in peers.go.
 package decide
 
 import "time"
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -99,7 +99,7 @@
 	timer := SetTimer{After: max(tickEvery, m.set.MinTick)} // the only timer in use
 	if !m.ticking {
 		m.ticking, m.periodAt, m.askWait, m.askAt = true, now, askFirst, now+m.jitter(askFirst)
-		m.startAt, m.size, m.tally.since = now, subsetLeast, now
+		m.startAt, m.size, m.tally.since, m.knownSince = now, subsetLeast, now, now
 		m.do(timer)
 	}
 	switch e := e.(type) {
@@ -118,6 +118,8 @@
 		if r := m.requests[e.ID]; r != nil && !r.done {
 			m.close(r)
 		}
+	case MessageReceived:
+		m.heard(e)
 	case TimerFired:
 		m.tick()
 		m.do(timer)
@@ -150,7 +152,8 @@
 	m.settled = m.settled || tried > 0
 	m.learned = rate > 0 && m.answers >= 2*float64(len(m.near))
 	grow := 1 + tickEvery.Seconds()/memoryTau
-	if m.least *= grow; m.answers < 1/classGain || m.mean < m.least*(1-baseNoise) { // few answers tell no least
+	few := m.answers < 1/classGain // they tell no least
+	if m.least *= grow; few && m.knownSince == m.startAt || !few && m.mean < m.least*(1-baseNoise) {
 		m.least = m.mean / (1 - baseNoise) // the least of a noisy mean is below its true value
 	}
 	full := m.held / math.Max(m.busy, leastFull)
@@ -169,7 +172,7 @@
 		if c.base *= grow; c.count >= 1/classGain && (c.base == 0 || c.latency < c.base*(1-baseNoise)) {
 			c.base = c.latency / (1 - baseNoise)
 		}
-		if c.base > 0 {
+		if c.base > 0 && expected > 0 {
 			base, latency = base+c.base, latency+expected
 			m.base = m.mean * base / latency
 		}
@@ -239,7 +242,7 @@
 	if !m.sparse() {
 		return s.n, math.Floor(m.high(s) + s.dither)
 	}
-	if m.least == 0 || m.aimed == 0 {
+	if m.base == 0 || m.least == 0 || m.aimed == 0 {
 		return s.n, 1
 	}
 	if full := m.full(); full > 0 {
@@ -785,6 +788,7 @@
 		m.status()
 	}
 	m.ask()
+	m.askAround()
 }
 
 func (m *Module) follow(e ListUpdate) {
--- a/decide/limits_test.go
+++ b/decide/limits_test.go
@@ -24,6 +24,18 @@
 	if lines > 800 {
 		t.Errorf("%d non-blank lines, 800 at most", lines)
 	}
+	more, err := os.ReadFile("peers.go")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for l := range strings.SplitSeq(string(more), "\n") {
+		if strings.TrimSpace(l) != "" {
+			lines++
+		}
+	}
+	if lines > 1200 {
+		t.Errorf("%d non-blank lines in all, 1,200 at most", lines)
+	}
 	if !strings.Contains(string(text[:400]), "api.go") {
 		t.Error("the interface's file must be named at the top")
 	}
--- a/decide/state.go
+++ b/decide/state.go
@@ -133,6 +133,9 @@
 	subscribed, asking bool
 	askAt, askedAt     Time
 	askWait            time.Duration
+	knownSince         Time // when the sizes that peers are told were learnt first, here or at another node
+	asked              int  // times that peers were asked for them
+	askPeersAt         Time
 	tally              tally
 }
 
