Shrink subsets by what full tables turn away of all attempts, and not where all servers are used

Its nodes used 4 of 15 servers, as two of them had no room for more connections: 0.2 to 0.5 of the attempts on new connections were turned away, but no more than 0.05 to 0.1 of all attempts, and other servers had room. A node that uses a part of all servers is taken for one of many, and goes by reports alone.

Now the part of all attempts counts, and it is held to where the subset is a part of the list anyway.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -62,7 +62,7 @@
 	subsetLeast = 8.0                    // servers; fewer leave no choice once a part of them is in trouble
 	tablesLeast = 4.0                    // the same where their tables of connections have no room for more
 	tableGain   = 0.1                    // weight of an attempt in the parts of attempts that are turned away
-	tableFull   = 0.1                    // of new connections: where more are turned away, tables are too full
+	tableFull   = 0.05                   // of attempts: where more are turned away for it, tables are too full
 	tableGrow   = 1.01                   // of its bound, each other period: room is tried again in half a minute
 	rateMemory  = 10.0                   // s; smoothing of this node's arrivals: a subset is not to flutter
 	statusEvery = 5 * time.Second        // s; a line of counts and sizes: a day's log stays readable
@@ -333,7 +333,9 @@
 	if want > m.size || want < m.size/2 {
 		m.size = math.Max(want, subsetLeast) // else unchanged: a new server costs a connection
 	}
-	m.size = math.Min(m.size, m.roomInTables())
+	if m.size < float64(len(m.ring)) { // one of few nodes needs all servers, and finds room at others
+		m.size = math.Min(m.size, m.roomInTables())
+	}
 	start := int(math.Mod((float64(m.set.Self)+0.5)*math.Phi, 1) * float64(len(m.ring)))
 	m.near, m.choices = m.near[:0], m.choices+1
 	for i := 0; i < min(len(m.ring), int(m.size)); i++ {
@@ -347,8 +349,7 @@
 // ones turn away what comes on a new connection, and a full queue what comes on any. All nodes see it,
 // and all give way: a full table costs a server a part of what it can do.
 func (m *Module) roomInTables() float64 {
-	m.turnedNew *= decay(recompute, rateMemory) // without new connections none is turned away
-	if more := m.turnedNew - m.turnedOld; more > tableFull {
+	if more := (m.turnedNew - m.turnedOld) * m.opening; more > tableFull {
 		m.tables = math.Max(tablesLeast, math.Min(m.tables, m.size)*(1-more/2))
 	} else if m.tables < float64(len(m.ring)) {
 		m.tables *= tableGrow
--- a/decide/state.go
+++ b/decide/state.go
@@ -111,6 +111,7 @@
 	tables             float64 // the same, at most: what servers' tables of connections have room for
 	turnedNew          float64 // part of the attempts on new connections that are turned away, smoothed
 	turnedOld          float64 // the same on connections that were there
+	opening            float64 // part of the attempts that open a connection, smoothed
 	arrivedAt, startAt Time
 	choices            int     // of subsets, so far
 	fleetRate, peak    float64 // answers each second that the mean server is able to; the most that this has been
@@ -241,10 +242,11 @@
 
 // door keeps account of what is turned away, on new connections and on those that were there.
 func (m *Module) door(e AttemptEnded) {
-	part := &m.turnedOld
+	part, opened := &m.turnedOld, 0.0
 	if e.Opened {
-		part = &m.turnedNew
+		part, opened = &m.turnedNew, 1
 	}
+	m.opening += tableGain * (opened - m.opening)
 	switch e.Code {
 	case Full:
 		*part += tableGain * (1 - *part)
--- a/decide/subset_test.go
+++ b/decide/subset_test.go
@@ -58,3 +58,26 @@
 		t.Errorf("with full queues: %d servers in use", len(m.near))
 	}
 }
+
+// One of few nodes, which uses all servers, keeps them though some have no room: others have, and a part of them would be
+// crowded.
+func TestBusyNodeKeepsAllServersBesideFullTables(t *testing.T) {
+	m := New(sparseSettings(4), 1)
+	m.Handle(time.Hour, sparseList(15))
+	for i := range 2000 {
+		now := time.Hour + time.Duration(i)*10*time.Millisecond
+		m.Handle(now, TimerFired{})
+		for _, a := range m.Handle(now, RequestArrived{ID: RequestID(fmt.Sprint(i)), Class: "dear", Patience: 2 * time.Second}) {
+			if s, ok := a.(Send); ok {
+				code, opened := OK, s.Server <= 2
+				if opened {
+					code = Full
+				}
+				m.Handle(now, AttemptEnded{ID: s.ID, Server: s.Server, Over: code == OK, Elapsed: 60 * time.Millisecond, Code: code, Opened: opened})
+			}
+		}
+	}
+	if len(m.near) != 15 {
+		t.Errorf("%d of 15 servers in use, 100 requests a second", len(m.near))
+	}
+}
