Test an idle time-out that crosses a request

Ruled out by reading before: nothing of what comes as the time is over is read, and the close resets, so that the client sends it again. The test fails where the close throws away what has come, as it does behind an answer.

--- a/internal/node/drain_test.go
+++ b/internal/node/drain_test.go
@@ -273,3 +273,40 @@
 		t.Error(err)
 	}
 }
+
+// A connection that is closed as its idle time is over leaves unread what comes in that moment: only by a reset does its
+// client know that it may send that again.
+func TestIdleTimeOutCrossesRequest(t *testing.T) {
+	t.Parallel()
+	for _, first := range []string{"the request", "the deadline"} {
+		t.Run(first, func(t *testing.T) {
+			_, c, client := pair(t)
+			over := func() { c.SetReadDeadline(time.Unix(1, 0)) }
+			if first == "the request" {
+				io.WriteString(client, "GET")
+				eventually(t, "come", func() bool { return !c.shutQuietBack() })
+				over()
+			}
+			got := make(chan error, 1)
+			go func() {
+				_, err := c.Read(make([]byte, 4096))
+				got <- err
+			}()
+			if first == "the deadline" {
+				eventually(t, "reading", func() bool { c.reading.Lock(); defer c.reading.Unlock(); return c.waiting })
+				over()
+			}
+			if err := <-got; !errors.Is(err, os.ErrDeadlineExceeded) {
+				t.Errorf("read %v", err)
+			}
+			if first == "the deadline" {
+				io.WriteString(client, "GET")
+				eventually(t, "come", func() bool { return !c.shutQuietBack() })
+			}
+			c.Close()
+			if _, err := client.Read(make([]byte, 1)); !errors.Is(err, syscall.ECONNRESET) {
+				t.Errorf("the client reads %v", err)
+			}
+		})
+	}
+}
