--- a/internal/node/terms_test.go
+++ b/internal/node/terms_test.go
@@ -77,6 +77,28 @@
 	}
 }
 
+// lateDials gives a client's connection to a node whose connections to backends come up when they are let to.
+func lateDials(t *testing.T, p *parts) (client net.Conn, dials, let chan struct{}) {
+	t.Helper()
+	b := p.loop.backends
+	dials, let = make(chan struct{}, 9), make(chan struct{}, 9)
+	b.mu.Lock()
+	dial := b.dial
+	b.dial = func(ctx context.Context, network, addr string, deadline time.Time) (net.Conn, error) {
+		dials <- struct{}{}
+		<-let
+		return dial(ctx, network, addr, deadline)
+	}
+	b.mu.Unlock()
+	client, err := net.Dial("tcp", p.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { client.Close() })
+	client.SetDeadline(time.Now().Add(patient))
+	return client, dials, let
+}
+
 // A backend is told no more time than is left to the client, however long a connection took to come up and whatever an
 // earlier attempt has used.
 func TestTimeTold(t *testing.T) {
@@ -97,21 +119,7 @@
 		}
 	})
 	p := assemble(t, &Config{Settings: settings(), Known: known(backend(t, serve), backend(t, serve))})
-	b := p.loop.backends
-	dials, let, dial := make(chan struct{}, 9), make(chan struct{}, 9), b.dial
-	b.mu.Lock()
-	b.dial = func(ctx context.Context, network, addr string, deadline time.Time) (net.Conn, error) {
-		dials <- struct{}{}
-		<-let
-		return dial(ctx, network, addr, deadline)
-	}
-	b.mu.Unlock()
-	conn, err := net.Dial("tcp", p.addr)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer conn.Close()
-	conn.SetDeadline(time.Now().Add(patient))
+	conn, dials, let := lateDials(t, p)
 	var sent time.Time
 	left := func(attempt string, since time.Time) {
 		t.Helper()
@@ -158,21 +166,7 @@
 		c.Settings.Classes[i].DedupWindow = window
 	}
 	p := assemble(t, c)
-	b := p.loop.backends
-	dials, let, dial := make(chan struct{}, 9), make(chan struct{}, 9), b.dial
-	b.mu.Lock()
-	b.dial = func(ctx context.Context, network, addr string, deadline time.Time) (net.Conn, error) {
-		dials <- struct{}{}
-		<-let
-		return dial(ctx, network, addr, deadline)
-	}
-	b.mu.Unlock()
-	conn, err := net.Dial("tcp", p.addr)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer conn.Close()
-	conn.SetDeadline(time.Now().Add(patient))
+	conn, dials, let := lateDials(t, p)
 	io.WriteString(conn, message("tag", "9.5", "b"))
 	<-dials
 	let <- struct{}{}
