Test a connection to a backend that never comes up

It passed as it is; without the dial's own time-out the client is held until its patience ends. A listener with a full queue lets nothing come up, so that the connection is a real one.

--- a/internal/node/terms_test.go
+++ b/internal/node/terms_test.go
@@ -298,3 +298,43 @@
 		t.Errorf("%v, %v", resp, err)
 	}
 }
+
+// A connection that never comes up has carried nothing: it is given up after the time that the settings give, and the
+// client is told that it may come again, long before its patience ends.
+func TestConnectionNeverComesUp(t *testing.T) {
+	t.Parallel()
+	l, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	raw, err := l.SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	raw.Control(func(fd uintptr) { err = syscall.Listen(int(fd), 0) }) // nobody accepts, and the queue is full at once
+	if err != nil {
+		t.Fatal(err)
+	}
+	full := false
+	for range 20 {
+		c, err := net.DialTimeout("tcp", l.Addr().String(), 300*time.Millisecond)
+		if full = err != nil; full {
+			break
+		}
+		defer c.Close()
+	}
+	if !full {
+		t.Fatal("connections come up still")
+	}
+	c := &Config{Settings: settings(), Known: known(l.Addr().String())}
+	c.Settings.ConnectTimeout, c.Settings.MaxAttempts = 200*time.Millisecond, 1
+	n := start(t, c)
+	began := time.Now()
+	if resp, _ := n.ask(t, message("order", "19.5", "b")); resp.StatusCode != 503 {
+		t.Errorf("status %d", resp.StatusCode)
+	}
+	if took := time.Since(began); took > 10*time.Second {
+		t.Errorf("given up after %v", took)
+	}
+}
