A replica that leaves the control chain keeps its vote until a substitute takes it

Cause: the members of a view were also those who vote on the next one. When one replica was cut off the view was shrunk to two, and the next view needed the votes of both.

Change: a view names its voters beside its members. The members are among them; a replica that is dropped from the chain stays a voter until a member that has caught up takes its place, one for each view. A member is dropped only while as many complete ones remain as disks may be lost, and one more; otherwise it is held at the tail until the others are complete. What a view commits is acknowledged only by members that know on their disks that they are complete. A replica that leaves ends only once a majority of the other voters have the view without it on disk. A replica that has accepted a view of which it heard no more proposes again. The partitions of the stores follow the same rule about complete copies.

--- a/internal/chain/acceptor.go
+++ b/internal/chain/acceptor.go
@@ -57,12 +57,12 @@
 	return segment.SaveRecord(a.node.options.FileSystem, a.path(), data)
 }
 
-// votes tells whether this replica is an acceptor for the epoch after a view.
+// votes tells whether this replica is an acceptor for the epoch after a view, be it a member of that view or not.
 func (a *acceptor) votes(v view.View) bool {
 	if v.Epoch == 0 {
 		return slices.Contains(a.seeds, a.node.options.Self.Address)
 	}
-	return v.Has(a.node.options.Self.Replica)
+	return v.HasVoter(a.node.options.Self.Replica)
 }
 
 // prepare answers a proposer. What is answered is on the disk.
@@ -95,7 +95,7 @@
 	return answer, a.saveIfChanged(before)
 }
 
-// confirms tells whether the view of an epoch, in which this replica is a member, is the newest that it knows, and it has
+// confirms tells whether the view of an epoch, of which this replica is a voter, is the newest that it knows, and it has
 // accepted no later one.
 func (a *acceptor) confirms(epoch uint64) bool {
 	a.mutex.Lock()
@@ -104,8 +104,20 @@
 	if a.node.stopped() || v.Epoch != epoch || !a.votes(v) {
 		return false
 	}
+	return !a.acceptedAfter(epoch)
+}
+
+// pending tells whether this replica has accepted a view for the epoch after another one that is not known to be decided.
+func (a *acceptor) pending(epoch uint64) bool {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	return a.acceptedAfter(epoch)
+}
+
+// acceptedAfter tells whether a view of a later epoch has been accepted. The mutex is held.
+func (a *acceptor) acceptedAfter(epoch uint64) bool {
 	state := a.machine.State()
-	return state.Epoch <= epoch || state.Accepted == nil
+	return state.Epoch > epoch && state.Accepted != nil
 }
 
 // saveIfChanged writes the state unless it is the one before. An acceptor whose disk failed answers nothing more.
--- a/internal/chain/attempt.go
+++ b/internal/chain/attempt.go
@@ -21,22 +21,19 @@
 
 // proposal describes an attempt to have the next view decided.
 func (r *Reconfigurer) proposal(v view.View) view.ProposerOptions {
-	members := r.members(v)
-	learners := r.learners(v)
+	candidates := r.planned(v)
 	options := r.proposerOptions(v)
-	for _, candidate := range members {
-		options.Acceptors = append(options.Acceptors, candidate.Address)
+	for _, voter := range v.Electorate() {
+		options.Acceptors = append(options.Acceptors, voter.Address)
+	}
+	for _, candidate := range candidates {
 		if candidate.Reachable {
 			options.Hoped = append(options.Hoped, candidate.Address)
 		}
-	}
-	for _, candidate := range learners {
-		options.Hoped = append(options.Hoped, candidate.Address)
 		if !slices.Contains(options.Acceptors, candidate.Address) {
 			options.Witnesses = append(options.Witnesses, candidate.Address)
 		}
 	}
-	candidates := append(members, learners...)
 	options.Choose = func(answers []view.Promise) (view.View, bool) {
 		return view.Next(v, view.Confirm(candidates, answers), r.options.Policy)
 	}
@@ -147,7 +144,8 @@
 	r.highestRound = 0
 	r.wanted = 0
 	addresses := r.others()
-	for _, member := range slices.Concat(r.node.View().Members, v.Members) {
+	known := r.node.View()
+	for _, member := range slices.Concat(known.Members, known.Voters, v.Members, v.Voters) {
 		addresses = append(addresses, member.Address)
 	}
 	r.node.Install(v)
--- a/internal/chain/candidates.go
+++ b/internal/chain/candidates.go
@@ -44,11 +44,24 @@
 
 // plan derives the next view, taking it that all members that are reachable are complete.
 func (r *Reconfigurer) plan(v view.View) (view.View, bool) {
-	candidates := r.members(v)
+	candidates := r.planned(v)
 	for i := range candidates {
-		candidates[i].Complete = true
+		candidates[i].Complete = v.Has(candidates[i].Replica)
+	}
+	return view.Next(v, candidates, r.options.Policy)
+}
+
+// planned gives what is known of the members of a view, of learners that may join it, and of its other voters.
+func (r *Reconfigurer) planned(v view.View) []view.Candidate {
+	candidates := append(r.members(v), r.learners(v)...)
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	for _, voter := range v.Voters {
+		if !slices.ContainsFunc(candidates, func(c view.Candidate) bool { return c.Replica == voter.Replica }) {
+			candidates = append(candidates, r.memberLocked(voter))
+		}
 	}
-	return view.Next(v, append(candidates, r.learners(v)...), r.options.Policy)
+	return candidates
 }
 
 // members gives what is known of the members of a view, except whether they are complete.
--- a/internal/chain/confirm.go
+++ b/internal/chain/confirm.go
@@ -8,40 +8,49 @@
 	"nickelline/internal/view"
 )
 
-// confirmTimeout bounds how long the members are waited for in ConfirmView.
+// confirmTimeout bounds how long the voters are waited for in ConfirmView.
 const confirmTimeout = 500 * time.Millisecond
 
 // ConfirmView proves that, when it was called, no view after the one in force here had been decided, and gives that view. A
-// majority of its members say that they have accepted none: a later view needs the votes of a majority, and any two have a
-// member in common. Unlike a barrier that needs neither all members nor the disk, so that one lost member does not hold it up.
+// majority of its voters say that they have accepted none: a later view needs the votes of a majority, and any two have a
+// voter in common. Unlike a barrier that needs neither all members nor the disk, so that one lost member does not hold it up.
 func (r *Reconfigurer) ConfirmView(ctx context.Context) (view.View, error) {
 	v := r.node.View()
 	if !v.Has(r.self().Replica) {
 		return view.View{}, fault.New(fault.NotReady, "this replica is not in the view")
 	}
+	if err := r.confirmByMajority(ctx, v, v.Electorate()); err != nil {
+		return view.View{}, err
+	}
+	return v, nil
+}
+
+// confirmByMajority succeeds once so many of some voters as are a majority of all have a view on their disks, and have
+// accepted no later one.
+func (r *Reconfigurer) confirmByMajority(ctx context.Context, v view.View, voters []view.Member) error {
 	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
 	defer cancel()
-	answers := make(chan bool, len(v.Members))
-	for _, member := range v.Members {
-		go func() { answers <- r.confirms(ctx, v, member) }()
+	answers := make(chan bool, len(voters))
+	for _, voter := range voters {
+		go func() { answers <- r.confirms(ctx, v, voter) }()
 	}
 	confirmed := 0
-	for range v.Members {
+	for range voters {
 		if <-answers {
 			confirmed++
 		}
-		if confirmed > len(v.Members)/2 {
-			return v, nil
+		if confirmed >= v.Majority() {
+			return nil
 		}
 	}
-	return view.View{}, fault.New(fault.NotReady, "%d of %d members confirm view %d", confirmed, len(v.Members), v.Epoch)
+	return fault.New(fault.NotReady, "%d of %d voters confirm view %d", confirmed, len(voters), v.Epoch)
 }
 
-func (r *Reconfigurer) confirms(ctx context.Context, v view.View, member view.Member) bool {
-	if member.Replica == r.self().Replica {
+func (r *Reconfigurer) confirms(ctx context.Context, v view.View, voter view.Member) bool {
+	if voter.Replica == r.self().Replica {
 		return r.acceptor.confirms(v.Epoch)
 	}
-	response, err := r.ask(ctx, member.Address, agreementRequest{confirm: v.Epoch})
+	response, err := r.ask(ctx, voter.Address, agreementRequest{confirm: v.Epoch})
 	return err == nil && response.confirmed
 }
 
--- a/internal/chain/node.go
+++ b/internal/chain/node.go
@@ -261,6 +261,15 @@
 	n.step(func(now time.Duration) { n.core.Install(now, v) })
 }
 
+// tell sends the own view to a replica that has an older one.
+func (n *Node) tell(to netip.AddrPort, epoch uint64) {
+	n.step(func(time.Duration) {
+		if epoch < n.core.View().Epoch {
+			n.core.sendView(to)
+		}
+	})
+}
+
 // View gives the view that is in force at this replica; its epoch is 0 if there is none.
 func (n *Node) View() view.View {
 	n.mutex.Lock()
--- a/internal/chain/questions.go
+++ b/internal/chain/questions.go
@@ -59,6 +59,7 @@
 	if response.view.Epoch > 0 {
 		r.node.Install(response.view)
 	}
+	r.node.tell(to, response.view.Epoch)
 	return response, nil
 }
 
--- a/internal/chain/reconfigurer.go
+++ b/internal/chain/reconfigurer.go
@@ -100,8 +100,9 @@
 
 func (r *Reconfigurer) self() view.Member { return r.node.options.Self }
 
-// HandOver has the members agree on a view without this replica. It returns once that is in force here, and with
-// fault.NotReady if too few would remain. The replica does not join again. Run has to be working.
+// HandOver has the voters agree on a view without this replica. It returns once that view, or a later one, is on the disks of
+// a majority of its voters without this one, so that the disk of this replica is needed for nothing, and with fault.NotReady if
+// too few members would remain. The replica does not join again. Run has to be working.
 func (r *Reconfigurer) HandOver(ctx context.Context) error {
 	r.mutex.Lock()
 	r.leaving = true
@@ -114,7 +115,22 @@
 		return fault.New(fault.NotReady, "too few members would remain")
 	}
 	notify(r.wake)
-	return r.node.wait(ctx, func() bool { return !r.node.core.view.Has(r.self().Replica) })
+	if err := r.node.wait(ctx, func() bool { return !r.node.core.view.Has(r.self().Replica) }); err != nil {
+		return err
+	}
+	return r.awaitSuccessors(ctx)
+}
+
+// awaitSuccessors returns once the newest view is on the disks of a majority of its voters without this replica.
+func (r *Reconfigurer) awaitSuccessors(ctx context.Context) error {
+	for {
+		v := r.node.View()
+		others := slices.DeleteFunc(slices.Clone(v.Electorate()), func(m view.Member) bool { return m.Replica == r.self().Replica })
+		err := r.confirmByMajority(ctx, v, others)
+		if err == nil || r.node.pause(ctx, v.Epoch) != nil {
+			return err
+		}
+	}
 }
 
 // Run works until ctx ends.
@@ -156,7 +172,7 @@
 // actAsMember proposes the next view if one is needed, after those before it in the chain had time to.
 func (r *Reconfigurer) actAsMember(ctx context.Context, v view.View) time.Duration {
 	_, needed := r.plan(v)
-	if !needed {
+	if !needed && !r.acceptor.pending(v.Epoch) {
 		r.wanted = 0
 		r.checkView(ctx)
 		return viewCheckPeriod
--- a/internal/chain/upstream.go
+++ b/internal/chain/upstream.go
@@ -193,7 +193,9 @@
 	u.snapshot.data = nil
 }
 
-// acknowledge tells the sender of the session about progress.
+// acknowledge tells the sender of the session about progress. A member that does not know on its disk that it is complete
+// acknowledges nothing to be committed: what is committed in a view is held by all of its members, and each of them may be the
+// head of the next one.
 func (c *Core) acknowledge() {
 	u := &c.upstream
 	if u.session == (Session{}) || (!u.started && u.snapshot == nil) {
@@ -205,6 +207,8 @@
 	}
 	if u.started {
 		m.Stored = c.synced
+	}
+	if u.started && c.complete() {
 		m.Synced, m.Ready = c.acknowledgeable()
 		m.Barrier = c.returnedBarrier()
 	}
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -117,6 +117,13 @@
 	return policy
 }
 
+// chainPolicy gives the sizes of the control chain where some disks may be lost at once: as many replicas vote on its views as
+// are members of a whole one.
+func chainPolicy(lost int) view.Policy {
+	whole := max(leastMembers, 2*lost+1)
+	return view.Policy{MinimumMembers: lost + 1, MaximumMembers: whole, Voters: whole}
+}
+
 func (c *Control) self() view.Member {
 	s := c.options.Settings
 	return view.Member{
@@ -153,7 +160,7 @@
 		Node:       node,
 		Seeds:      o.Settings.SeedInternal(),
 		FirstStart: o.Settings.InitialStart,
-		Policy:     view.Policy{MinimumMembers: lost + 1, MaximumMembers: max(leastMembers, 2*lost+1)},
+		Policy:     chainPolicy(lost),
 	})
 	if err != nil {
 		return merry.Prepend(err, "views of the control chain")
--- a/internal/placement/next.go
+++ b/internal/placement/next.go
@@ -78,7 +78,7 @@
 	candidates := p.candidates(partition)
 	next, ok := view.Next(current.View, candidates, view.Policy{
 		MinimumMembers: p.policy.MinimumReplicas,
-		MaximumMembers: len(candidates),
+		MaximumMembers: len(current.View.Members) + len(current.Learners),
 	})
 	if ok {
 		p.setView(partition, next, Repaired)
--- a/internal/view/agreement.go
+++ b/internal/view/agreement.go
@@ -1,6 +1,6 @@
 package view
 
-// The agreement on the view of an epoch is single-decree Paxos. The acceptors are the members of the view of the epoch
+// The agreement on the view of an epoch is single-decree Paxos. The acceptors are the voters of the view of the epoch
 // before, each of which votes only once it has that view; those of epoch 1 are the seeds of the first start. Acceptor and
 // Proposer are state machines without input or output.
 
--- a/internal/view/agreement_test.go
+++ b/internal/view/agreement_test.go
@@ -173,6 +173,8 @@
 		Accepted: &Acceptance{Ballot: Ballot{5, 6}, View: v}, Complete: true,
 	}
 	roundTrip(t, v, Encode, Decode)
+	v.Voters = []Member{testMember(1), testMember(9)}
+	roundTrip(t, v, Encode, Decode)
 	roundTrip(t, testMember(3), EncodeMember, DecodeMember)
 	roundTrip(t, Prepare{Epoch: 5, Ballot: Ballot{1, 2}}, EncodePrepare, DecodePrepare)
 	roundTrip(t, promise, EncodePromise, DecodePromise)
--- a/internal/view/codec.go
+++ b/internal/view/codec.go
@@ -28,11 +28,21 @@
 func writeView(w viewwire.View, v View) error {
 	w.SetChain(v.Chain)
 	w.SetEpoch(v.Epoch)
-	list, err := w.NewMembers(int32(len(v.Members)))
+	if err := writeMembers(w.NewMembers, v.Members); err != nil {
+		return err
+	}
+	if len(v.Voters) == 0 {
+		return nil
+	}
+	return writeMembers(w.NewVoters, v.Voters)
+}
+
+func writeMembers(allocate func(int32) (viewwire.Member_List, error), members []Member) error {
+	list, err := allocate(int32(len(members)))
 	if err != nil {
 		return err
 	}
-	for i, member := range v.Members {
+	for i, member := range members {
 		if err := writeMember(list.At(i), member); err != nil {
 			return err
 		}
@@ -42,21 +52,32 @@
 
 func readView(r viewwire.View) (View, error) {
 	v := View{Chain: r.Chain(), Epoch: r.Epoch()}
-	list, err := r.Members()
-	if err != nil {
+	var err error
+	if v.Members, err = readMembers(r.Members()); err != nil {
 		return View{}, err
 	}
-	if err := capnpcodec.CheckLength(list); err != nil {
+	if v.Voters, err = readMembers(r.Voters()); err != nil {
 		return View{}, err
 	}
+	return v, nil
+}
+
+func readMembers(list viewwire.Member_List, err error) ([]Member, error) {
+	if err != nil {
+		return nil, err
+	}
+	if err := capnpcodec.CheckLength(list); err != nil {
+		return nil, err
+	}
+	var members []Member
 	for i := range list.Len() {
 		member, err := readMember(list.At(i))
 		if err != nil {
-			return View{}, err
+			return nil, err
 		}
-		v.Members = append(v.Members, member)
+		members = append(members, member)
 	}
-	return v, nil
+	return members, nil
 }
 
 func writeMember(w viewwire.Member, m Member) error {
--- a/internal/view/policy.go
+++ b/internal/view/policy.go
@@ -31,29 +31,38 @@
 
 // Policy bounds the views that Next gives.
 type Policy struct {
-	// MinimumMembers is the size below which a view is not shrunk.
+	// MinimumMembers is the size below which a view is not shrunk, and the number of complete members that have to remain
+	// before another one is dropped.
 	MinimumMembers int
 	// MaximumMembers is the size up to which learners are appended.
 	MaximumMembers int
+	// Voters is the size up to which views have voters, at least MaximumMembers. 0: the replicas do not agree on their views
+	// themselves, and views name no voters.
+	Voters int
 }
 
-// Next derives the view that should follow: members that are unreachable or leaving are dropped, the others keep their
-// order with complete ones first, and learners that have caught up are appended at the tail, those from zones that have
-// fewer members first. It reports false if the current view should stay.
+// Next derives the view that should follow: members that are unreachable or leaving are dropped if enough complete ones
+// remain, the others keep their order with complete ones first, and learners that have caught up are appended at the tail,
+// those from zones that have fewer members first. At most one replica becomes a voter. It reports false if the current view
+// should stay.
 func Next(current View, candidates []Candidate, policy Policy) (View, bool) {
-	members := remaining(current, candidates, policy)
-	members = extend(members, current, candidates, policy.MaximumMembers)
-	if len(members) < policy.MinimumMembers || !hasCompleteHead(members, candidates) {
+	members, held := remaining(current, candidates, policy)
+	members = extend(members, current, candidates, policy, policy.MaximumMembers-len(held))
+	if len(held) > 0 && completeCount(members, candidates) == len(members) {
+		return View{}, false // there is none that could become complete
+	}
+	members = append(members, held...)
+	if len(members) < policy.MinimumMembers || !hasCompleteHead(members, candidates) || slices.Equal(members, current.Members) {
 		return View{}, false
 	}
 	next := View{Chain: current.Chain, Epoch: current.Epoch + 1, Members: members}
-	if slices.Equal(members, current.Members) {
-		return View{}, false
+	if policy.Voters > 0 {
+		next.Voters = electorate(members, current, candidates, policy.Voters)
 	}
 	return next, true
 }
 
-// First derives the first view of a chain from the promises of its seeds.
+// First derives the first view of a chain from the promises of its seeds, all of which vote on the second one.
 func First(chain uint32, promises []Promise, policy Policy) (View, bool) {
 	first := View{Chain: chain, Epoch: 1}
 	for _, promise := range promises {
@@ -64,65 +73,64 @@
 		member.Joined = 1
 		first.Members = append(first.Members, member)
 	}
+	if policy.Voters > 0 {
+		first.Voters = slices.Clone(first.Members)
+	}
 	return first, len(first.Members) >= policy.MinimumMembers
 }
 
-// remaining gives the members that stay: complete ones first, then by their order. Leaving members stay while too few
-// others would remain.
-func remaining(current View, candidates []Candidate, policy Policy) []Member {
-	var complete, incomplete, leaving []Member
+// remaining gives the members that stay. Those that are reachable and not leaving do, and are all if enough of them are
+// complete: the loss of further disks, up to MinimumMembers - 1, leaves one that has all that was committed. Otherwise the
+// leaving ones stay too, and if these are not enough either, those that cannot be reached are held: at the tail, where they do
+// not keep the others from becoming complete. Nothing is committed without them until they are dropped, or are back.
+func remaining(current View, candidates []Candidate, policy Policy) (members, held []Member) {
+	serving := chainOrder(current, candidates, func(c Candidate) bool { return c.Reachable && !c.Leaving })
+	if completeCount(serving, candidates) >= policy.MinimumMembers {
+		return serving, nil
+	}
+	reachable := chainOrder(current, candidates, func(c Candidate) bool { return c.Reachable })
+	if completeCount(reachable, candidates) >= policy.MinimumMembers {
+		return reachable, nil
+	}
+	for _, member := range current.Members {
+		if !hasReplica(reachable, member.Replica) {
+			held = append(held, member)
+		}
+	}
+	return reachable, held
+}
+
+// chainOrder gives the members that are as wanted in the order of the view, complete ones first.
+func chainOrder(current View, candidates []Candidate, wanted func(Candidate) bool) []Member {
+	var complete, incomplete []Member
 	for _, member := range current.Members {
 		candidate, known := find(candidates, member.Replica)
 		switch {
-		case !known || !candidate.Reachable:
-		case candidate.Leaving:
-			leaving = append(leaving, member)
+		case !known || !wanted(candidate):
 		case candidate.Complete:
 			complete = append(complete, member)
 		default:
 			incomplete = append(incomplete, member)
 		}
 	}
-	members := slices.Concat(complete, incomplete)
-	if len(complete) > 0 && len(members)+joinable(current, candidates, policy.MaximumMembers-len(members)) >= policy.MinimumMembers {
-		return members
-	}
-	return keepLeaving(current, members, leaving, candidates)
-}
-
-// keepLeaving restores the order of the current view among all reachable members, complete ones first.
-func keepLeaving(current View, members, leaving []Member, candidates []Candidate) []Member {
-	kept := slices.Concat(members, leaving)
-	rank := func(m Member) int {
-		candidate, _ := find(candidates, m.Replica)
-		position := current.Index(m.Replica)
-		if !candidate.Complete {
-			position += len(current.Members)
-		}
-		return position
-	}
-	slices.SortStableFunc(kept, func(a, b Member) int { return rank(a) - rank(b) })
-	return kept
+	return slices.Concat(complete, incomplete)
 }
 
-func joinable(current View, candidates []Candidate, room int) int {
+func completeCount(members []Member, candidates []Candidate) int {
 	count := 0
-	for _, candidate := range candidates {
-		if mayJoin(current, candidate) {
+	for _, member := range members {
+		if candidate, known := find(candidates, member.Replica); known && candidate.Complete {
 			count++
 		}
 	}
-	return max(0, min(count, room))
-}
-
-func mayJoin(current View, candidate Candidate) bool {
-	return candidate.Replica != 0 && candidate.Reachable && candidate.CaughtUp && !candidate.Leaving && !current.Has(candidate.Replica)
+	return count
 }
 
-// extend appends learners up to a size.
-func extend(members []Member, current View, candidates []Candidate, size int) []Member {
+// extend appends learners up to a size, only one of them without a vote.
+func extend(members []Member, current View, candidates []Candidate, policy Policy, size int) []Member {
 	for len(members) < size {
-		learner, ok := bestLearner(members, current, candidates)
+		onlyVoters := policy.Voters > 0 && addsVoter(members, current)
+		learner, ok := bestLearner(members, current, candidates, onlyVoters)
 		if !ok {
 			return members
 		}
@@ -133,11 +141,14 @@
 }
 
 // bestLearner prefers zones with few members, then the order of the candidates.
-func bestLearner(members []Member, current View, candidates []Candidate) (Member, bool) {
+func bestLearner(members []Member, current View, candidates []Candidate, onlyVoters bool) (Member, bool) {
 	var best Member
 	fewest := -1
 	for _, candidate := range candidates {
-		if !mayJoin(current, candidate) || (View{Members: members}).Has(candidate.Replica) {
+		if !mayJoin(current, candidate) || hasReplica(members, candidate.Replica) {
+			continue
+		}
+		if onlyVoters && !current.HasVoter(candidate.Replica) {
 			continue
 		}
 		if count := inZone(members, candidate.Zone); fewest < 0 || count < fewest {
@@ -147,6 +158,10 @@
 	return best, fewest >= 0
 }
 
+func mayJoin(current View, candidate Candidate) bool {
+	return candidate.Replica != 0 && candidate.Reachable && candidate.CaughtUp && !candidate.Leaving && !current.Has(candidate.Replica)
+}
+
 func inZone(members []Member, zone string) int {
 	count := 0
 	for _, member := range members {
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -1,5 +1,9 @@
 // Package view holds the membership views of a replication chain: what a view is, the policy that derives the next one,
-// and the agreement on it (single-decree Paxos for each epoch among the members of the epoch before).
+// and the agreement on it (single-decree Paxos for each epoch among the voters of the epoch before).
+//
+// A view names two groups. Its members replicate: a member that cannot be reached is dropped at once, so that the chain goes
+// on. Its voters agree on the next view: a replica that was dropped keeps its vote until another one that has caught up takes
+// it, so that the agreement bears the loss of a disk at every moment.
 package view
 
 import (
@@ -27,6 +31,27 @@
 	Chain   uint32
 	Epoch   uint64
 	Members []Member // head first, tail last
+	// Voters agree on the view of the next epoch. They are chosen by voters, and contain the members. A view that its
+	// replicas do not agree on themselves names none.
+	Voters []Member
+}
+
+// Electorate gives those who agree on the view of the next epoch: the voters, or the members of a view that names none.
+func (v View) Electorate() []Member {
+	if len(v.Voters) == 0 {
+		return v.Members
+	}
+	return v.Voters
+}
+
+// HasVoter tells whether a replica is one of those who agree on the view of the next epoch.
+func (v View) HasVoter(replica ReplicaID) bool { return hasReplica(v.Electorate(), replica) }
+
+// Majority gives how many of the electorate decide on the view of the next epoch.
+func (v View) Majority() int { return len(v.Electorate())/2 + 1 }
+
+func hasReplica(members []Member, replica ReplicaID) bool {
+	return slices.ContainsFunc(members, func(m Member) bool { return m.Replica == replica })
 }
 
 // Index gives the position of a replica in the chain, -1 if the view does not name it.
@@ -83,10 +108,12 @@
 // Clone gives a view that shares no memory with v.
 func (v View) Clone() View {
 	v.Members = slices.Clone(v.Members)
+	v.Voters = slices.Clone(v.Voters)
 	return v
 }
 
 // Equal tells whether two views are the same.
 func (v View) Equal(other View) bool {
-	return v.Chain == other.Chain && v.Epoch == other.Epoch && slices.Equal(v.Members, other.Members)
+	return v.Chain == other.Chain && v.Epoch == other.Epoch &&
+		slices.Equal(v.Members, other.Members) && slices.Equal(v.Voters, other.Voters)
 }
--- a/internal/view/viewwire/view.capnp
+++ b/internal/view/viewwire/view.capnp
@@ -15,6 +15,7 @@
   chain @0 :UInt32;
   epoch @1 :UInt64;
   members @2 :List(Member);
+  voters @3 :List(Member);
 }
 
 struct Ballot {
