--- a/internal/chain/node.go
+++ b/internal/chain/node.go
@@ -19,8 +19,9 @@
 )
 
 const (
-	recordName   = "record"
-	logDirectory = "log"
+	recordName = "record"
+	// LogDirectory is where a chain keeps its log, within its directory.
+	LogDirectory = "log"
 	// minimumTimer bounds how often the node wakes by itself.
 	minimumTimer = 20 * time.Millisecond
 )
@@ -102,7 +103,7 @@
 	if err != nil {
 		return nil, err
 	}
-	log, recovered, err := segment.Open(options.FileSystem, path.Join(options.Directory, logDirectory), segment.Options{})
+	log, recovered, err := segment.Open(options.FileSystem, path.Join(options.Directory, LogDirectory), segment.Options{})
 	if err != nil {
 		return nil, merry.Prependf(err, "log of chain %d", options.Chain)
 	}
--- a/internal/chain/simulation_site_test.go
+++ b/internal/chain/simulation_site_test.go
@@ -103,7 +103,7 @@
 	s.identify()
 	record, err := loadRecord(Options{FileSystem: s.fileSystem, Directory: siteDirectory})
 	s.check(err)
-	log, recovered, err := segment.Open(s.fileSystem, path.Join(siteDirectory, logDirectory), segment.Options{SegmentSize: 500})
+	log, recovered, err := segment.Open(s.fileSystem, path.Join(siteDirectory, LogDirectory), segment.Options{SegmentSize: 500})
 	s.check(err)
 	s.log = log
 	s.restore(record, recovered)
--- a/internal/chain/simulation_test.go
+++ b/internal/chain/simulation_test.go
@@ -100,6 +100,9 @@
 
 	snapshotBytes int
 
+	duration        time.Duration // until all trouble ends
+	operationGroups int           // moments at which clients do something
+
 	// planTroubles draws what befalls the sites, planTrouble if it is nil. afterStep, if there is one, is called after each event.
 	planTroubles func()
 	afterStep    func()
@@ -133,6 +136,10 @@
 		committed: make(map[uint64]committedEntry),
 		sequences: make(map[uint64]uint64),
 		refused:   make(map[uint64]bool),
+
+		duration:        troubleTime,
+		operationGroups: operationsCount,
+
 		network: simnet.New(seed, simnet.Conditions{
 			MinimumDelay: 300 * time.Microsecond,
 			MaximumDelay: time.Duration(1+random.IntN(8)) * time.Millisecond,
@@ -192,7 +199,7 @@
 		s.planTroubles = s.planTrouble
 	}
 	s.planTroubles()
-	end := s.network.Now() + troubleTime
+	end := s.network.Now() + s.duration
 	s.runUntil(func() bool { return s.network.Now() >= end })
 	s.heal()
 	s.settle()
@@ -276,7 +283,7 @@
 // planTrouble draws when and what befalls the sites.
 func (s *simulation) planTrouble() {
 	for range 4 + s.random.IntN(16) {
-		at := s.network.Now() + time.Duration(s.random.Int64N(int64(troubleTime)))
+		at := s.network.Now() + time.Duration(s.random.Int64N(int64(s.duration)))
 		s.network.At(at, s.trouble)
 	}
 }
@@ -424,6 +431,7 @@
 // operation is what a client did.
 type operation struct {
 	id       uint64
+	at       *site // where it began
 	read     bool
 	expected uint64
 	value    uint64
@@ -450,8 +458,8 @@
 }
 
 func (s *simulation) planOperations() {
-	for range operationsCount {
-		at := s.network.Now() + time.Duration(s.random.Int64N(int64(troubleTime)))
+	for range s.operationGroups {
+		at := s.network.Now() + time.Duration(s.random.Int64N(int64(s.duration)))
 		s.network.At(at, func() {
 			if s.random.IntN(3) == 0 {
 				s.read()
@@ -481,10 +489,12 @@
 	}
 }
 
-// propose has a client write at a random site, which passes it on to the head that it knows.
-func (s *simulation) propose() {
-	site := s.sites[s.random.IntN(len(s.sites))]
-	o := s.begin(&operation{value: s.lastID + 1000, expected: s.guessVersion()})
+// propose has a client write at a random site.
+func (s *simulation) propose() { s.proposeAt(s.sites[s.random.IntN(len(s.sites))]) }
+
+// proposeAt has a client write at a site, which passes it on to the head that it knows.
+func (s *simulation) proposeAt(site *site) {
+	o := s.begin(&operation{at: site, value: s.lastID + 1000, expected: s.guessVersion()})
 	s.tryPropose(o, site, 20)
 }
 
@@ -540,9 +550,11 @@
 	return s.sites[i]
 }
 
-// read has a client read at a random site after a barrier.
-func (s *simulation) read() {
-	at := s.sites[s.random.IntN(len(s.sites))]
+// read has a client read at a random site.
+func (s *simulation) read() { s.readAt(s.sites[s.random.IntN(len(s.sites))]) }
+
+// readAt has a client read at a site after a barrier.
+func (s *simulation) readAt(at *site) {
 	if !s.network.Up(at.address) {
 		return
 	}
@@ -550,7 +562,7 @@
 	if !ok {
 		return
 	}
-	o := s.begin(&operation{read: true})
+	o := s.begin(&operation{at: at, read: true})
 	reply := func(sequence uint64) {
 		s.network.Send(head.Address, at.address, func() {
 			at.whenApplied(sequence, func() {
--- a/internal/chain/simulation_views_test.go
+++ b/internal/chain/simulation_views_test.go
@@ -118,6 +118,9 @@
 
 // proposeView makes one attempt to have the view after v decided.
 func (s *site) proposeView(v view.View) {
+	if s.proposer != nil {
+		return
+	}
 	candidates := s.candidates(v)
 	state := s.acceptor.State()
 	round := uint64(1)
@@ -134,9 +137,12 @@
 	}
 	if v.Epoch == 0 {
 		options.Acceptors = s.seeds
+		options.Hoped = s.seeds
 	}
-	options.Hoped = options.Acceptors
 	for _, candidate := range candidates {
+		if candidate.Reachable {
+			options.Hoped = append(options.Hoped, candidate.Address)
+		}
 		if !slices.Contains(options.Acceptors, candidate.Address) {
 			options.Witnesses = append(options.Witnesses, candidate.Address)
 		}
@@ -205,6 +211,10 @@
 			return func() { proposer.Accepted(other.address, accepted) }
 		})
 	}
+	if _, over := proposer.Abandoned(); over {
+		s.proposer = nil
+		return
+	}
 	if deadline, ok := proposer.Deadline(); ok {
 		s.after(max(0, deadline-s.simulation.network.Now()), func() {
 			if s.proposer == proposer {
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io/fs"
 	"math/rand/v2"
 	"net"
 	"net/netip"
@@ -149,11 +148,8 @@
 		OnFailure:       o.OnFailure,
 		Log:             o.Log,
 	})
-	if errors.Is(err, segment.ErrDamaged) {
-		return errors.Join(merry.Prepend(err, "the replica is lost, the next start makes a new one"), c.discardReplica())
-	}
 	if err != nil {
-		return merry.Prepend(err, "control chain")
+		return c.openFailed(merry.Prepend(err, "control chain"))
 	}
 	c.node = node
 	c.reconfigurer, err = chain.NewReconfigurer(chain.ReconfigurerOptions{
@@ -163,7 +159,8 @@
 		Policy:     chainPolicy(lost),
 	})
 	if err != nil {
-		return merry.Prepend(err, "views of the control chain")
+		node.Close()
+		return c.openFailed(merry.Prepend(err, "views of the control chain"))
 	}
 	c.build(lost)
 	return nil
@@ -219,28 +216,6 @@
 	})
 }
 
-// discardReplica removes the files of a replica whose log is damaged, and its identity: the process joins as a new one.
-func (c *Control) discardReplica() error {
-	directory := c.options.Settings.DataDirectory
-	return errors.Join(
-		c.removeFiles(path.Join(directory, chainDirectory, "log")),
-		c.removeFiles(path.Join(directory, chainDirectory)),
-		c.removeFiles(directory),
-	)
-}
-
-func (c *Control) removeFiles(directory string) error {
-	names, err := c.options.FileSystem.List(directory)
-	if errors.Is(err, fs.ErrNotExist) {
-		return nil
-	}
-	for _, name := range names {
-		// What is a directory cannot be removed and stays.
-		_ = c.options.FileSystem.Remove(path.Join(directory, name))
-	}
-	return errors.Join(err, c.options.FileSystem.SyncDirectory(directory))
-}
-
 // signal wakes the receiver of a channel that has room for one signal.
 func signal(channel chan<- struct{}) {
 	select {
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -157,15 +157,23 @@
 // start runs a node on its directory.
 func (s *controlSystem) start(node int, first bool) {
 	s.t.Helper()
+	if err := s.open(node, first); err != nil {
+		s.t.Fatal(err)
+	}
+}
+
+// open runs a node on its directory, if it can be opened.
+func (s *controlSystem) open(node int, first bool) error {
 	read := s.settings(node, first)
 	log := zap.NewNop()
 	transport, err := peer.Listen(read.ControlInternal(read.IP), log)
 	if err != nil {
-		s.t.Fatal(err)
+		return err
 	}
 	replica, _, err := view.LoadIdentity(segment.OperatingSystem{}, read.DataDirectory)
 	if err != nil {
-		s.t.Fatal(err)
+		transport.Close()
+		return err
 	}
 	members := member.New(member.Member{
 		Name: read.NodeName, Role: controlRole, Zone: read.Zone, Address: transport.Address(),
@@ -179,7 +187,8 @@
 		Configuration: topic, Placement: newRecordingTopic(), Log: log,
 	})
 	if err != nil {
-		s.t.Fatal(err)
+		transport.Close()
+		return err
 	}
 	ctx, stop := context.WithCancel(context.Background())
 	transport.Start()
@@ -190,6 +199,7 @@
 	s.nodes[node] = &controlProcess{
 		control: control, transport: transport, stop: stop, topic: topic, viewed: viewed, members: members, met: met,
 	}
+	return nil
 }
 
 // waitForAll returns once the view at a node names all nodes: before that another one must not be lost.
--- a/internal/store/discard.go
+++ b/internal/store/discard.go
@@ -1,34 +1,18 @@
 package store
 
 import (
-	"errors"
-	"io/fs"
 	"path"
 
 	"go.uber.org/zap"
 
+	"nickelline/internal/chain"
 	"nickelline/internal/segment"
 )
 
-// removeFiles removes the files of a directory, and leaves the directories in it.
-func removeFiles(fileSystem segment.FileSystem, directory string) error {
-	names, err := fileSystem.List(directory)
-	if errors.Is(err, fs.ErrNotExist) {
-		return nil
-	}
-	if err != nil {
-		return err
-	}
-	for _, name := range names {
-		_ = fileSystem.Remove(path.Join(directory, name)) // fails for directories
-	}
-	return fileSystem.SyncDirectory(directory)
-}
-
 // discardAll removes the replica's identity, and then all that it had: the next start makes a new replica, which no view
 // names. Without its identity it cannot be taken for one that has all that it acknowledged.
 func (s *Service) discardAll() error {
-	if err := removeFiles(s.options.FileSystem, s.options.Directory); err != nil {
+	if err := segment.RemoveFiles(s.options.FileSystem, s.options.Directory); err != nil {
 		return err
 	}
 	names, err := s.options.FileSystem.List(s.options.Directory)
@@ -37,10 +21,7 @@
 	}
 	for _, name := range names {
 		directory := path.Join(s.options.Directory, name)
-		if err := removeFiles(s.options.FileSystem, path.Join(directory, logDirectory)); err != nil {
-			return err
-		}
-		if err := removeFiles(s.options.FileSystem, directory); err != nil {
+		if err := segment.RemoveFiles(s.options.FileSystem, path.Join(directory, chain.LogDirectory), directory); err != nil {
 			return err
 		}
 	}
@@ -52,7 +33,7 @@
 func (s *Service) discard(d *served) {
 	delete(s.partitions, d.partition.number)
 	d.close()
-	if err := removeFiles(s.options.FileSystem, path.Join(s.directory(d.partition.number), logDirectory)); err != nil {
+	if err := segment.RemoveFiles(s.options.FileSystem, path.Join(s.directory(d.partition.number), chain.LogDirectory)); err != nil {
 		s.options.Log.Warn("remove the log of a partition that is not kept", zap.Error(err))
 	}
 }
--- a/internal/store/service.go
+++ b/internal/store/service.go
@@ -30,8 +30,6 @@
 const (
 	// partitionDirectory begins the name of the directory of a partition.
 	partitionDirectory = "partition-"
-	// logDirectory is where a chain keeps its log, within the directory of its partition.
-	logDirectory = "log"
 	// Parts of the bounds of the deployment that proofs may be old.
 	sendProofParts = 3
 	readProofParts = 3
--- a/internal/store/service_test.go
+++ b/internal/store/service_test.go
@@ -328,7 +328,7 @@
 	c.fixture.eventually("the former member keeps no partition", func() bool {
 		return len(c.stores[0].service.currentReport().Chains) == 0
 	})
-	names, err := segment.OperatingSystem{}.List(path.Join(c.stores[0].service.directory(1), logDirectory))
+	names, err := segment.OperatingSystem{}.List(path.Join(c.stores[0].service.directory(1), chain.LogDirectory))
 	if err != nil || len(names) != 0 {
 		t.Errorf("files left: %v, %v", names, err)
 	}
