Status tells who votes on the control chain and how many further losses can be borne

A replica that was dropped from the chain keeps its vote: the operator sees both groups, and how many of the machines that run may go with their disks now so that a majority of the voters with a complete replica is left. Checked with three control processes, one of them killed (TestDiskIsLostWhileAReplicaIsAway), and by TestLossesBorne.

--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -392,6 +392,9 @@
 	if err != nil || status.Node != "f-1" || len(status.Chain.Replicas) == 0 || len(status.Members) != testControls {
 		t.Errorf("%+v, %v", status, err)
 	}
+	if len(status.Chain.Voters) != testControls {
+		t.Errorf("%d nodes vote", len(status.Chain.Voters))
+	}
 }
 
 // TestLargeOrderOverTheChain sends a configuration of a megabyte to a node that is not the head.
--- a/internal/control/controlapi/status.go
+++ b/internal/control/controlapi/status.go
@@ -20,11 +20,16 @@
 
 // ChainState describes the control chain.
 type ChainState struct {
-	Epoch     uint64   `json:"epoch"`
-	Head      bool     `json:"head"`
-	Replicas  []string `json:"replicas"`
-	Committed uint64   `json:"committed"`
-	Appended  uint64   `json:"appended"`
+	Epoch uint64 `json:"epoch"`
+	Head  bool   `json:"head"`
+	// Replicas keep the state, the head first. Voters agree on who they are; one may be a voter and no replica of the chain.
+	Replicas []string `json:"replicas"`
+	Voters   []string `json:"voters"`
+	// LossesBorne is how many of the running machines may go with their disks now before the chain needs one of those that
+	// are not running.
+	LossesBorne int    `json:"lossesBorne"`
+	Committed   uint64 `json:"committed"`
+	Appended    uint64 `json:"appended"`
 }
 
 // PlacementState describes the placement of batch partitions.
--- a/internal/control/losses_test.go
+++ b/internal/control/losses_test.go
@@ -25,6 +25,26 @@
 	}
 }
 
+// waitForChain returns once a node tells so of the chain.
+func (s *controlSystem) waitForChain(node, replicas, voters, lossesBorne int) {
+	s.t.Helper()
+	ctx, cancel := context.WithTimeout(s.t.Context(), testCalls)
+	defer cancel()
+	p := s.nodes[node]
+	for {
+		told := p.control.Status().Chain
+		if len(told.Replicas) == replicas && len(told.Voters) == voters && told.LossesBorne == lossesBorne {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			s.t.Fatalf("node %d tells of the chain %+v", node, told)
+		case <-p.met:
+		case <-p.viewed:
+		}
+	}
+}
+
 // wipe empties the disk of a node that does not run.
 func (s *controlSystem) wipe(node int) {
 	s.t.Helper()
@@ -45,9 +65,11 @@
 		first, second := (away+1)%testControls, (away+2)%testControls
 		s.put(first, 0, 3)
 		s.waitForAll(first)
+		s.waitForChain(first, testControls, testControls, 1)
 		s.kill(away)
 		s.waitForViewOf(first, testControls-1)
 		s.put(first, 3, 4)
+		s.waitForChain(first, testControls-1, testControls, 0)
 
 		s.kill(first)
 		s.kill(second)
--- a/internal/control/status.go
+++ b/internal/control/status.go
@@ -1,6 +1,8 @@
 package control
 
 import (
+	"slices"
+
 	"nickelline/internal/control/controlapi"
 	"nickelline/internal/member"
 	"nickelline/internal/view"
@@ -33,17 +35,29 @@
 
 func (c *Control) describeChain() controlapi.ChainState {
 	if c.node == nil {
-		return controlapi.ChainState{Replicas: []string{}}
+		return controlapi.ChainState{Replicas: []string{}, Voters: []string{}}
 	}
 	v, status := c.node.View(), c.node.Status()
 	_, head := c.head()
 	return controlapi.ChainState{
-		Epoch:     v.Epoch,
-		Head:      head,
-		Replicas:  memberNames(v.Members),
-		Committed: status.Committed,
-		Appended:  status.LastAppended,
+		Epoch:       v.Epoch,
+		Head:        head,
+		Replicas:    memberNames(v.Members),
+		Voters:      memberNames(v.Electorate()),
+		LossesBorne: v.LossesBorne(c.runs),
+		Committed:   status.Committed,
+		Appended:    status.LastAppended,
+	}
+}
+
+// runs tells whether a replica of the control chain runs, as far as this node knows.
+func (c *Control) runs(replica view.ReplicaID) bool {
+	if replica == c.options.Replica {
+		return true
 	}
+	return slices.ContainsFunc(c.options.Members.Table().ByRole(controlRole), func(m member.Member) bool {
+		return m.Replica == uint64(replica) && m.Running()
+	})
 }
 
 func memberNames(members []view.Member) []string {
--- a/internal/view/electorate.go
+++ b/internal/view/electorate.go
@@ -2,6 +2,22 @@
 
 import "slices"
 
+// LossesBorne gives how many of the replicas that run may be lost now, with their disks, so that those that are left are a
+// majority of the voters with a member that has all that was committed.
+func (v View) LossesBorne(runs func(ReplicaID) bool) int {
+	return max(0, min(countRunning(v.Electorate(), runs)-v.Majority(), countRunning(v.Members, runs)-1))
+}
+
+func countRunning(members []Member, runs func(ReplicaID) bool) int {
+	count := 0
+	for _, member := range members {
+		if runs(member.Replica) {
+			count++
+		}
+	}
+	return count
+}
+
 // electorate gives the voters of a view with certain members: the members, and beside them those that voted before, up to a
 // number. So no replica loses its vote because it cannot be reached: only a member that takes its place in the chain, or its
 // address, replaces it as a voter. Those that are likely to answer are kept before others.
--- a/internal/view/policy_test.go
+++ b/internal/view/policy_test.go
@@ -231,6 +231,27 @@
 	expect(t, next, []int{2, 3}, []int{2, 3, 7, 1})
 }
 
+func TestLossesBorne(t *testing.T) {
+	v := testView()
+	v.Members = v.Members[:2]
+	v.Voters = []Member{testMember(1), testMember(2), testMember(3), testMember(4), testMember(5)}
+	for _, c := range []struct {
+		running []ReplicaID
+		want    int
+	}{
+		{[]ReplicaID{1, 2, 3, 4, 5}, 1}, // one member has to be left
+		{[]ReplicaID{1, 2, 3, 4}, 1},
+		{[]ReplicaID{1, 2, 3}, 0}, // all are needed as voters
+		{[]ReplicaID{1, 3, 4, 5}, 0},
+		{[]ReplicaID{4, 5}, 0},
+	} {
+		got := v.LossesBorne(func(replica ReplicaID) bool { return slices.Contains(c.running, replica) })
+		if got != c.want {
+			t.Errorf("with %v running %d losses are borne, want %d", c.running, got, c.want)
+		}
+	}
+}
+
 // A view that an earlier version of the program decided names no voters: its members vote.
 func TestViewWithoutVoters(t *testing.T) {
 	if v := testView(); !v.HasVoter(2) || v.HasVoter(4) || v.Majority() != 2 {
