Who votes, who replicates and who serves: voter, reconfigurer and prover

The replica's part in the agreement is a voter, whether or not it is a member of the chain. What proves to those who serve that they act on the newest is a Prover, beside the question to a majority of the voters, which a replica that leaves asks too. One function runs the chain's histories. No change of behaviour.

--- a/internal/chain/attempt.go
+++ b/internal/chain/attempt.go
@@ -43,8 +43,8 @@
 // firstProposal describes an attempt to have the first view decided, with the seeds that promise.
 func (r *Reconfigurer) firstProposal(v view.View) view.ProposerOptions {
 	options := r.proposerOptions(v)
-	options.Acceptors = r.acceptor.seeds
-	options.Hoped = r.acceptor.seeds
+	options.Acceptors = r.voter.seeds
+	options.Hoped = r.voter.seeds
 	options.PromiseWait = firstViewWait
 	options.Choose = func(promises []view.Promise) (view.View, bool) {
 		return view.First(options.Chain, promises, r.options.Policy)
@@ -54,7 +54,7 @@
 
 func (r *Reconfigurer) proposerOptions(v view.View) view.ProposerOptions {
 	epoch := v.Epoch + 1
-	round := max(r.acceptor.nextRound(epoch), r.highestRound+1)
+	round := max(r.voter.nextRound(epoch), r.highestRound+1)
 	return view.ProposerOptions{
 		Chain:  r.node.options.Chain,
 		Epoch:  epoch,
--- a/internal/chain/long_absence_test.go
+++ b/internal/chain/long_absence_test.go
@@ -59,8 +59,7 @@
 }
 
 func newAbsence(t *testing.T, seed uint64) *absence {
-	a := &absence{simulation: newSimulation(t, seed)}
-	a.authority, a.careful, a.policy.Voters = false, false, a.policy.MaximumMembers
+	a := &absence{simulation: newAgreedSimulation(t, seed)}
 	a.duration = absenceDuration
 	a.operationGroups = int(absenceDuration / absenceCommands)
 	a.network.Conditions.Loss = 0
--- a/internal/chain/long_cut_test.go
+++ b/internal/chain/long_cut_test.go
@@ -46,8 +46,7 @@
 }
 
 func newLongCut(t *testing.T, seed uint64, position, direction int) *longCut {
-	cut := &longCut{simulation: newSimulation(t, seed)}
-	cut.authority, cut.careful, cut.policy.Voters = false, false, cut.policy.MaximumMembers
+	cut := &longCut{simulation: newAgreedSimulation(t, seed)}
 	cut.duration = longCutDuration
 	cut.operationGroups = longCutGroups
 	cut.network.Conditions.Loss = 0
--- /dev/null
+++ b/internal/chain/majority.go
@@ -0,0 +1,41 @@
+package chain
+
+import (
+	"context"
+	"time"
+
+	"nickelline/internal/fault"
+	"nickelline/internal/view"
+)
+
+// confirmTimeout bounds how long the voters are waited for in confirmByMajority.
+const confirmTimeout = 500 * time.Millisecond
+
+// confirmByMajority succeeds once so many of some voters as are a majority of all have a view on their disks, and have
+// accepted no later one.
+func (r *Reconfigurer) confirmByMajority(ctx context.Context, v view.View, voters []view.Member) error {
+	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
+	defer cancel()
+	answers := make(chan bool, len(voters))
+	for _, voter := range voters {
+		go func() { answers <- r.confirms(ctx, v, voter) }()
+	}
+	confirmed := 0
+	for range voters {
+		if <-answers {
+			confirmed++
+		}
+		if confirmed >= v.Majority() {
+			return nil
+		}
+	}
+	return fault.New(fault.NotReady, "%d of %d voters confirm view %d", confirmed, len(voters), v.Epoch)
+}
+
+func (r *Reconfigurer) confirms(ctx context.Context, v view.View, voter view.Member) bool {
+	if voter.Replica == r.self().Replica {
+		return r.voter.confirms(v.Epoch)
+	}
+	response, err := r.ask(ctx, voter.Address, agreementRequest{confirm: v.Epoch})
+	return err == nil && response.confirmed
+}
--- /dev/null
+++ b/internal/chain/prover.go
@@ -0,0 +1,44 @@
+package chain
+
+import (
+	"context"
+
+	"nickelline/internal/fault"
+	"nickelline/internal/view"
+)
+
+// Prover proves to those who serve at this replica that what they act on is the newest there is. It asks the voters and needs
+// neither the whole chain nor the disk.
+type Prover struct{ reconfigurer *Reconfigurer }
+
+// NewProver makes a prover for the replica of a reconfigurer.
+func NewProver(r *Reconfigurer) *Prover { return &Prover{reconfigurer: r} }
+
+// ConfirmView proves that, when it was called, no view after the one in force here had been decided, and gives that view. A
+// majority of its voters say that they have accepted none: a later view needs the votes of a majority, and any two have a
+// voter in common. Unlike a barrier that needs neither all members nor the disk, so that one lost member does not hold it up.
+func (p *Prover) ConfirmView(ctx context.Context) (view.View, error) {
+	r := p.reconfigurer
+	v := r.node.View()
+	if !v.Has(r.self().Replica) {
+		return view.View{}, fault.New(fault.NotReady, "this replica is not in the view")
+	}
+	if err := r.confirmByMajority(ctx, v, v.Electorate()); err != nil {
+		return view.View{}, err
+	}
+	return v, nil
+}
+
+// ConfirmCurrent proves that this replica has applied all that was committed anywhere when it was called. It does not need all
+// members: what is committed in the newest view has passed through each of its members, so a complete one that has applied all
+// that it has received lacks nothing. While entries are under way that cannot be told, and a barrier has to be asked for.
+func (p *Prover) ConfirmCurrent(ctx context.Context) error {
+	v, err := p.ConfirmView(ctx)
+	if err != nil {
+		return err
+	}
+	if status := p.reconfigurer.node.Status(); status.Epoch != v.Epoch || !status.Complete || status.Applied < status.LastAppended {
+		return fault.New(fault.NotReady, "%d entries of %d are applied here", status.Applied, status.LastAppended)
+	}
+	return nil
+}
--- a/internal/chain/confirm_test.go
+++ b/internal/chain/prover_test.go
@@ -39,15 +39,15 @@
 	c := newWholeCluster(t)
 	ordered := c.byRank()
 	head, middle, tail := ordered[0], ordered[1], ordered[2]
-	if v, err := head.reconfigurer.ConfirmView(testContext(t)); err != nil || v.Epoch != head.node.View().Epoch {
+	if v, err := NewProver(head.reconfigurer).ConfirmView(testContext(t)); err != nil || v.Epoch != head.node.View().Epoch {
 		t.Fatalf("view %d, %v", v.Epoch, err)
 	}
 	c.close(tail) // no member is told of it
-	if _, err := head.reconfigurer.ConfirmView(testContext(t)); err != nil {
+	if _, err := NewProver(head.reconfigurer).ConfirmView(testContext(t)); err != nil {
 		t.Errorf("with two of three members: %v", err)
 	}
 	c.close(middle)
-	if v, err := head.reconfigurer.ConfirmView(testContext(t)); err == nil {
+	if v, err := NewProver(head.reconfigurer).ConfirmView(testContext(t)); err == nil {
 		t.Errorf("view %d is confirmed by one of three members", v.Epoch)
 	}
 }
@@ -62,26 +62,26 @@
 	ballot := view.Ballot{Round: 100, Replica: ordered[1].self.Replica}
 	next := view.View{Chain: old.Chain, Epoch: old.Epoch + 1, Members: old.Members[1:]}
 	for i, m := range ordered[1:] {
-		if _, err := m.reconfigurer.acceptor.prepare(view.Prepare{Epoch: next.Epoch, Ballot: ballot}); err != nil {
+		if _, err := m.reconfigurer.voter.prepare(view.Prepare{Epoch: next.Epoch, Ballot: ballot}); err != nil {
 			t.Fatal(err)
 		}
-		if !m.reconfigurer.acceptor.confirms(old.Epoch) {
+		if !m.reconfigurer.voter.confirms(old.Epoch) {
 			t.Errorf("member %d does not confirm the view after a promise alone", i)
 		}
-		accepted, err := m.reconfigurer.acceptor.accept(view.Accept{Epoch: next.Epoch, Ballot: ballot, View: next})
+		accepted, err := m.reconfigurer.voter.accept(view.Accept{Epoch: next.Epoch, Ballot: ballot, View: next})
 		if err != nil || !accepted.Granted {
 			t.Fatalf("%+v, %v", accepted, err)
 		}
-		if m.reconfigurer.acceptor.confirms(old.Epoch) {
+		if m.reconfigurer.voter.confirms(old.Epoch) {
 			t.Errorf("member %d confirms the view before the one that it has accepted", i)
 		}
 	}
-	if v, err := head.reconfigurer.ConfirmView(testContext(t)); err == nil {
+	if v, err := NewProver(head.reconfigurer).ConfirmView(testContext(t)); err == nil {
 		t.Errorf("view %d is confirmed, and view %d is decided", v.Epoch, next.Epoch)
 	}
 	ordered[1].node.Install(next)
 	c.awaitView(ordered[1], func(v view.View) bool { return v.Epoch >= next.Epoch })
-	if ordered[1].reconfigurer.acceptor.confirms(old.Epoch) {
+	if ordered[1].reconfigurer.voter.confirms(old.Epoch) {
 		t.Error("a member with a newer view confirms the older one")
 	}
 }
@@ -90,10 +90,10 @@
 	c := newCluster(t, 3, 4)
 	c.propose(c.members[0], 1)
 	outsider := c.members[3]
-	if v, err := outsider.reconfigurer.ConfirmView(testContext(t)); err == nil {
+	if v, err := NewProver(outsider.reconfigurer).ConfirmView(testContext(t)); err == nil {
 		t.Errorf("a replica outside of the view confirms epoch %d", v.Epoch)
 	}
-	if outsider.reconfigurer.acceptor.confirms(c.members[0].node.View().Epoch) {
+	if outsider.reconfigurer.voter.confirms(c.members[0].node.View().Epoch) {
 		t.Error("a replica outside of the view has a vote")
 	}
 }
@@ -132,13 +132,13 @@
 	head, middle, tail := ordered[0], ordered[1], ordered[2]
 	for _, m := range ordered {
 		c.total(m)
-		if err := m.reconfigurer.ConfirmCurrent(testContext(t)); err != nil {
+		if err := NewProver(m.reconfigurer).ConfirmCurrent(testContext(t)); err != nil {
 			t.Fatal(err)
 		}
 	}
 	c.close(tail)
 	for _, m := range []*member{head, middle} {
-		if err := m.reconfigurer.ConfirmCurrent(testContext(t)); err != nil {
+		if err := NewProver(m.reconfigurer).ConfirmCurrent(testContext(t)); err != nil {
 			t.Errorf("with nothing under way: %v", err)
 		}
 	}
@@ -147,7 +147,7 @@
 	if _, err := head.node.Propose(ctx, number(6)); err == nil {
 		t.Fatal("an entry is committed without the tail")
 	}
-	if err := head.reconfigurer.ConfirmCurrent(testContext(t)); err == nil && head.applied() < 7 {
+	if err := NewProver(head.reconfigurer).ConfirmCurrent(testContext(t)); err == nil && head.applied() < 7 {
 		t.Error("the head is proven to be current with an entry under way")
 	}
 }
@@ -181,7 +181,7 @@
 			working.Go(func() {
 				for ctx.Err() == nil {
 					before := acknowledged.Load()
-					if m.reconfigurer.ConfirmCurrent(ctx) != nil {
+					if NewProver(m.reconfigurer).ConfirmCurrent(ctx) != nil {
 						continue
 					}
 					proofs.Add(1)
--- a/internal/chain/questions.go
+++ b/internal/chain/questions.go
@@ -18,13 +18,13 @@
 	}
 	switch {
 	case q.prepare != nil:
-		promise, err := r.acceptor.prepare(*q.prepare)
+		promise, err := r.voter.prepare(*q.prepare)
 		if err != nil {
 			return agreementResponse{}, err
 		}
 		a.promise = &promise
 	case q.accept != nil:
-		accepted, err := r.acceptor.accept(*q.accept)
+		accepted, err := r.voter.accept(*q.accept)
 		if err != nil {
 			return agreementResponse{}, err
 		}
@@ -32,7 +32,7 @@
 	case q.join:
 		r.noteJoin(q.sender)
 	case q.confirm != 0:
-		a.confirmed = r.acceptor.confirms(q.confirm)
+		a.confirmed = r.voter.confirms(q.confirm)
 	}
 	a.view = r.node.View()
 	return a, nil
--- a/internal/chain/reconfigurer.go
+++ b/internal/chain/reconfigurer.go
@@ -46,7 +46,7 @@
 type Reconfigurer struct {
 	options    ReconfigurerOptions
 	node       *Node
-	acceptor   *acceptor
+	voter      *voter
 	began      time.Time
 	wake       chan struct{}
 	neighbours neighbours
@@ -78,14 +78,14 @@
 	if options.FirstStart {
 		seeds = options.Seeds
 	}
-	acceptor, err := openAcceptor(options.Node, seeds)
+	voter, err := openVoter(options.Node, seeds)
 	if err != nil {
 		return nil, err
 	}
 	r := &Reconfigurer{
 		options:  options,
 		node:     options.Node,
-		acceptor: acceptor,
+		voter:    voter,
 		began:    time.Now(),
 		wake:     make(chan struct{}, 1),
 		joins:    make(map[view.ReplicaID]joinRequest),
@@ -107,7 +107,7 @@
 	r.mutex.Lock()
 	r.leaving = true
 	r.mutex.Unlock()
-	if !r.awaitMembership(ctx, r.acceptor.leave()) {
+	if !r.awaitMembership(ctx, r.voter.leave()) {
 		return nil
 	}
 	v := r.node.View()
@@ -171,7 +171,7 @@
 	case v.Epoch > 0:
 		r.wanted = 0
 		return r.actAsLearner(ctx, v)
-	case r.acceptor.votes(v):
+	case r.voter.votes(v):
 		return r.actAsSeed(ctx, v)
 	}
 	return r.discover(ctx)
@@ -180,7 +180,7 @@
 // actAsMember proposes the next view if one is needed, after those before it in the chain had time to.
 func (r *Reconfigurer) actAsMember(ctx context.Context, v view.View) time.Duration {
 	_, needed := r.plan(v)
-	if !needed && !r.acceptor.pending(v.Epoch) {
+	if !needed && !r.voter.pending(v.Epoch) {
 		r.wanted = 0
 		r.checkView(ctx)
 		return viewCheckPeriod
@@ -202,7 +202,7 @@
 	if r.wanted == 0 {
 		r.wanted = now
 	}
-	rank := max(0, slices.Index(r.acceptor.seeds, r.self().Address))
+	rank := max(0, slices.Index(r.voter.seeds, r.self().Address))
 	if due := r.wanted + time.Duration(rank)*rankDelay; now < due {
 		return due - now
 	}
--- a/internal/chain/second_loss_test.go
+++ b/internal/chain/second_loss_test.go
@@ -1,7 +1,6 @@
 package chain
 
 import (
-	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -18,25 +17,11 @@
 )
 
 func TestSecondLossAtAnyStep(t *testing.T) {
-	histories := environment(t, historiesVariable, defaultHistories)
-	firstSeed := environment(t, seedVariable, 1)
-	if testing.Short() {
-		histories /= 10
-	}
-	for worker := range 4 {
-		t.Run(fmt.Sprintf("worker %d", worker), func(t *testing.T) {
-			t.Parallel()
-			var total summary
-			for i := worker; i < histories && !t.Failed(); i += 4 {
-				s := newSimulation(t, uint64(firstSeed+i))
-				s.authority, s.careful, s.policy.Voters = false, false, s.policy.MaximumMembers
-				s.planTroubles = s.planSecondLoss
-				s.run()
-				total.add(s)
-			}
-			t.Logf("%+v", total)
-		})
-	}
+	runHistories(t, func(t *testing.T, seed uint64) *simulation {
+		s := newAgreedSimulation(t, seed)
+		s.planTroubles = s.planSecondLoss
+		return s
+	})
 }
 
 // planSecondLoss draws the first loss, and the step at which the second one comes.
--- a/internal/chain/simulation_test.go
+++ b/internal/chain/simulation_test.go
@@ -21,6 +21,7 @@
 	historiesVariable = "NICKELLINE_CHAIN_HISTORIES"
 	seedVariable      = "NICKELLINE_CHAIN_SEED"
 	defaultHistories  = 600
+	historyWorkers    = 4
 
 	troubleTime     = 15 * time.Second
 	settleTime      = 30 * time.Second
@@ -44,18 +45,21 @@
 	return value
 }
 
-func TestSeededHistories(t *testing.T) {
+func TestSeededHistories(t *testing.T) { runHistories(t, newSimulation) }
+
+// runHistories runs as many histories as are wanted, in several goroutines.
+func runHistories(t *testing.T, begin func(t *testing.T, seed uint64) *simulation) {
 	histories := environment(t, historiesVariable, defaultHistories)
 	firstSeed := environment(t, seedVariable, 1)
 	if testing.Short() {
 		histories /= 10
 	}
-	for worker := range 4 {
+	for worker := range historyWorkers {
 		t.Run(fmt.Sprintf("worker %d", worker), func(t *testing.T) {
 			t.Parallel()
 			var total summary
-			for i := worker; i < histories && !t.Failed(); i += 4 {
-				s := newSimulation(t, uint64(firstSeed+i))
+			for i := worker; i < histories && !t.Failed(); i += historyWorkers {
+				s := begin(t, uint64(firstSeed+i))
 				s.run()
 				total.add(s)
 			}
@@ -169,6 +173,13 @@
 	return s
 }
 
+// newAgreedSimulation makes a history in which the replicas agree on their views themselves.
+func newAgreedSimulation(t *testing.T, seed uint64) *simulation {
+	s := newSimulation(t, seed)
+	s.authority, s.careful, s.policy.Voters = false, false, s.policy.MaximumMembers
+	return s
+}
+
 func addressOf(i int) netip.AddrPort {
 	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i + 1)}), 7660)
 }
--- /dev/null
+++ b/internal/chain/voter.go
@@ -0,0 +1,166 @@
+package chain
+
+import (
+	"errors"
+	"io/fs"
+	"net/netip"
+	"path"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"nickelline/internal/fault"
+	"nickelline/internal/segment"
+	"nickelline/internal/view"
+)
+
+// acceptorName is the file in which a voter keeps its promises.
+const acceptorName = "acceptor"
+
+// voter is the part of a replica in the agreement on views, with its state on disk. It is there whether or not the replica is a
+// member of the chain.
+type voter struct {
+	node *Node
+	// seeds agree on the first view; empty if this replica was not there at the first start of the system.
+	seeds []netip.AddrPort
+
+	mutex   sync.Mutex
+	machine *view.Acceptor
+	leaving bool
+	// answered is when a proposer was told last that this replica stays: a view that names it may be decided for some time.
+	answered time.Time
+}
+
+// openVoter reads the state of a voter. One that has none votes on the first view if seeds are given.
+func openVoter(n *Node, seeds []netip.AddrPort) (*voter, error) {
+	vt := &voter{node: n, seeds: seeds}
+	data, err := segment.LoadRecord(n.options.FileSystem, vt.path())
+	if errors.Is(err, fs.ErrNotExist) {
+		vt.machine = view.NewAcceptor(view.AcceptorState{})
+		return vt, vt.save()
+	}
+	if err != nil {
+		return nil, merry.Prepend(err, "acceptor")
+	}
+	state, seeds, err := view.DecodeAcceptorState(data)
+	if err != nil {
+		return nil, merry.Prepend(err, "acceptor")
+	}
+	vt.machine = view.NewAcceptor(state)
+	vt.seeds = seeds
+	return vt, nil
+}
+
+func (vt *voter) path() string { return path.Join(vt.node.options.Directory, acceptorName) }
+
+func (vt *voter) save() error {
+	data, err := view.EncodeAcceptorState(vt.machine.State(), vt.seeds)
+	if err != nil {
+		return err
+	}
+	return segment.SaveRecord(vt.node.options.FileSystem, vt.path(), data)
+}
+
+// votes tells whether this replica votes on the epoch after a view, be it a member of that view or not.
+func (vt *voter) votes(v view.View) bool {
+	if v.Epoch == 0 {
+		return slices.Contains(vt.seeds, vt.node.options.Self.Address)
+	}
+	return v.HasVoter(vt.node.options.Self.Replica)
+}
+
+// prepare answers a proposer. What is answered is on the disk.
+func (vt *voter) prepare(m view.Prepare) (view.Promise, error) {
+	vt.mutex.Lock()
+	defer vt.mutex.Unlock()
+	answer := view.Promise{Epoch: m.Epoch, Ballot: m.Ballot}
+	if v := vt.node.View(); m.Epoch == v.Epoch+1 && vt.votes(v) {
+		before := vt.machine.State()
+		answer = vt.machine.Prepare(m)
+		if err := vt.saveIfChanged(before); err != nil {
+			return view.Promise{}, err
+		}
+	}
+	answer.Sender = vt.node.options.Self
+	answer.Leaving = vt.leaving
+	if !vt.leaving {
+		vt.answered = time.Now()
+	}
+	status := vt.node.Status()
+	answer.Complete = status.Complete && status.Epoch+1 == m.Epoch
+	return answer, nil
+}
+
+// accept answers a proposer. What is answered is on the disk.
+func (vt *voter) accept(m view.Accept) (view.Accepted, error) {
+	vt.mutex.Lock()
+	defer vt.mutex.Unlock()
+	if v := vt.node.View(); m.Epoch != v.Epoch+1 || !vt.votes(v) {
+		return view.Accepted{}, fault.New(fault.NotReady, "no vote on epoch %d", m.Epoch)
+	}
+	before := vt.machine.State()
+	answer := vt.machine.Accept(m)
+	return answer, vt.saveIfChanged(before)
+}
+
+// confirms tells whether the view of an epoch, of which this replica is a voter, is the newest that it knows, and it has
+// accepted no later one.
+func (vt *voter) confirms(epoch uint64) bool {
+	vt.mutex.Lock()
+	defer vt.mutex.Unlock()
+	v := vt.node.View()
+	if vt.node.stopped() || v.Epoch != epoch || !vt.votes(v) {
+		return false
+	}
+	return !vt.acceptedAfter(epoch)
+}
+
+// pending tells whether this replica has accepted a view for the epoch after another one that is not known to be decided.
+func (vt *voter) pending(epoch uint64) bool {
+	vt.mutex.Lock()
+	defer vt.mutex.Unlock()
+	return vt.acceptedAfter(epoch)
+}
+
+// acceptedAfter tells whether a view of a later epoch has been accepted. The mutex is held.
+func (vt *voter) acceptedAfter(epoch uint64) bool {
+	state := vt.machine.State()
+	return state.Epoch > epoch && state.Accepted != nil
+}
+
+// saveIfChanged writes the state unless it is the one before. A voter whose disk failed answers nothing more.
+func (vt *voter) saveIfChanged(before view.AcceptorState) error {
+	if vt.node.stopped() {
+		return fault.New(fault.NotReady, "the replica has failed")
+	}
+	if vt.machine.State() == before {
+		return nil
+	}
+	err := vt.save()
+	if err != nil {
+		vt.node.fail(err, true)
+	}
+	return err
+}
+
+// leave has proposers told that this replica is about to end, and gives the time until which one may name it that was told
+// otherwise.
+func (vt *voter) leave() time.Time {
+	vt.mutex.Lock()
+	defer vt.mutex.Unlock()
+	vt.leaving = true
+	return vt.answered.Add(attemptTimeout)
+}
+
+// nextRound gives the round for a proposal of this replica that is higher than those that it has seen.
+func (vt *voter) nextRound(epoch uint64) uint64 {
+	vt.mutex.Lock()
+	defer vt.mutex.Unlock()
+	state := vt.machine.State()
+	if state.Epoch != epoch {
+		return 1
+	}
+	return state.Promised.Round + 1
+}
--- a/internal/control/distributor.go
+++ b/internal/control/distributor.go
@@ -27,7 +27,7 @@
 	View() view.View
 }
 
-// currencyConfirmer proves without the whole chain that what is applied here is current: a *chain.Reconfigurer.
+// currencyConfirmer proves without the whole chain that what is applied here is current: a *chain.Prover.
 type currencyConfirmer interface {
 	ConfirmCurrent(ctx context.Context) error
 }
--- a/internal/control/headship.go
+++ b/internal/control/headship.go
@@ -17,7 +17,7 @@
 	headProofAge    = time.Second
 )
 
-// viewConfirmer proves which view of the control chain is the newest: a *chain.Reconfigurer.
+// viewConfirmer proves which view of the control chain is the newest: a *chain.Prover.
 type viewConfirmer interface {
 	ConfirmView(ctx context.Context) (view.View, error)
 }
