Stores: as many disks as may be lost go at any step of the placement's histories

Before, a disk was wiped only where another complete copy was known to be left. Now as many go as the policy has to bear, whatever is under way, and each partition must have a complete replica left.

--- a/internal/placement/history_test.go
+++ b/internal/placement/history_test.go
@@ -43,6 +43,9 @@
 	machines []*machine
 	created  int
 	table    Table
+	// unrepaired are the disks that were lost since all members of all partitions were complete last.
+	unrepaired int
+	lost       int
 }
 
 func newHistory(t *testing.T, seed uint64) *history {
@@ -270,15 +273,29 @@
 	}
 }
 
-// wipe empties the disk of a store, if no more than may be lost are.
+// wipe empties the disk of a store, if no more than may be lost are, whatever else is going on.
 func (h *history) wipe(m *machine) {
-	m.store.Replica += 100000
-	if !h.borne() {
-		m.store.Replica -= 100000
+	if h.whole() {
+		h.unrepaired = 0
+	}
+	if h.unrepaired == h.policy.MinimumReplicas-1 {
 		return
 	}
+	h.unrepaired++
+	h.lost++
+	m.store.Replica += 100000
 	m.replicas = make(map[uint32]*replica)
 	m.store.Alive = h.random.IntN(2) == 0
+	if !h.borne() {
+		h.fatal("after the loss of %d disks a partition has no complete replica left", h.unrepaired)
+	}
+}
+
+// whole tells whether all members of all partitions have disks with all that was committed.
+func (h *history) whole() bool {
+	return !slices.ContainsFunc(h.table.Partitions, func(p Partition) bool {
+		return slices.ContainsFunc(p.View.Members, func(member view.Member) bool { return !h.onDisk(p.View.Chain, member) })
+	})
 }
 
 // borne tells whether each partition still has a complete replica on a disk.
@@ -359,8 +376,10 @@
 }
 
 // TestHistories checks over seeded histories that a view always keeps a complete head of the former one, that none has
-// fewer members than the least number, that the table comes to rest in balance, and that retiring stores get empty.
+// fewer members than the least number, that the table comes to rest in balance, that retiring stores get empty, and that the
+// loss of as many disks as may be lost, at any step, leaves a complete replica of each partition.
 func TestHistories(t *testing.T) {
+	lost := 0
 	for seed := range uint64(histories) {
 		h := newHistory(t, seed)
 		for range historySteps {
@@ -368,5 +387,9 @@
 		}
 		h.settle()
 		h.checkRest()
+		lost += h.lost
+	}
+	if lost < 2*histories {
+		t.Errorf("%d disks were lost in %d histories: that tests too little", lost, histories)
 	}
 }
