A proxy that ends gives up its quota leases, and one that is gone is waited for no longer than a lease lasts

Cause: a new allocator grants next to nothing until all lives that are registered have presented their leases, or until these have ended, 5 s later. A life stayed registered for four lease times after its last renewal, also if its machine had been replaced.

Change: a proxy that has drained tells the allocator that it holds nothing and ends; its leases go to others and its life is taken out of the register at once. One that is gone without a word is taken out when its last lease has ended, a lease time and a proof's age after its last renewal.

--- a/cmd/nickelline/proxy.go
+++ b/cmd/nickelline/proxy.go
@@ -68,7 +68,7 @@
 	defer stop()
 	n.start()
 	go sender.Run(ctx)
-	go limiter.Run(ctx)
+	renewing := runLimiter(ctx, limiter)
 	if err := n.readBackends(ctx); err != nil {
 		return err
 	}
@@ -83,11 +83,41 @@
 		drainContext, cancel := context.WithTimeout(ctx, settings.Seconds(p.settings.Bounds.GracePeriodS))
 		serving.Drain(drainContext)
 		cancel()
+		renewing.leave(ctx)
 	}
 	n.leave()
 	return err
 }
 
+// limiterRun is a limiter whose leases are being renewed.
+type limiterRun struct {
+	limiter *quota.Limiter
+	stop    context.CancelFunc
+	ended   chan struct{}
+}
+
+func runLimiter(ctx context.Context, limiter *quota.Limiter) *limiterRun {
+	ctx, stop := context.WithCancel(ctx)
+	run := &limiterRun{limiter: limiter, stop: stop, ended: make(chan struct{})}
+	go func() {
+		defer close(run.ended)
+		limiter.Run(ctx)
+	}()
+	return run
+}
+
+// quotaLeaveTime bounds how long a proxy that ends tries to give up its quota leases.
+const quotaLeaveTime = 300 * time.Millisecond
+
+// leave gives up the leases once no request is sent any more.
+func (r *limiterRun) leave(ctx context.Context) {
+	r.stop()
+	<-r.ended
+	ctx, cancel := context.WithTimeout(ctx, quotaLeaveTime)
+	defer cancel()
+	r.limiter.Leave(ctx)
+}
+
 // maxProofAge is how old the proof may be that the configuration is current: a key that was taken away must have no
 // effect after a time, also where the node has not heard of it.
 func maxProofAge(s *settings.Settings) time.Duration {
--- a/internal/quota/allocator.go
+++ b/internal/quota/allocator.go
@@ -19,7 +19,6 @@
 	retryUnsettled = 50 * time.Millisecond  // told while the allocator waits for leases to be presented
 	sweepInterval  = 500 * time.Millisecond // between looks for leases that have ended
 	formerLives    = 8                      // of a proxy that are remembered, to know their late messages
-	silentLeases   = 4                      // a registered life is forgotten after so many lease times without a renewal
 
 	// HeadshipProof is how long after a proof of headship a node may act as allocator.
 	HeadshipProof = time.Second
@@ -40,7 +39,7 @@
 	tenants map[string]*account
 	holders map[netip.AddrPort]*holder
 	unheard int  // holders that have still to present the leases of a former allocator
-	silent  bool // some registered lives have long not renewed
+	silent  bool // some registered lives have left, or have not renewed for longer than a lease lasts
 }
 
 // holder is what the allocator keeps of a proxy.
@@ -51,6 +50,7 @@
 	leases     map[string]*lease
 	registered bool // it may be granted something
 	heard      bool // it holds no lease that the allocator does not know
+	left       bool // it has told that it holds nothing and ends
 	renewedAt  time.Time
 }
 
@@ -116,6 +116,9 @@
 	if r.Complete {
 		a.hear(now, h)
 	}
+	if r.Leaving {
+		a.leave(now, h)
+	}
 	return grants, nil
 }
 
--- a/internal/quota/codec.go
+++ b/internal/quota/codec.go
@@ -26,6 +26,7 @@
 		root.SetSequence(r.Sequence)
 		root.SetEpoch(r.Epoch)
 		root.SetComplete(r.Complete)
+		root.SetLeaving(r.Leaving)
 		return encodeEntries(root, r.Entries)
 	})
 	return data, merry.Prepend(err, "encode quota renewal")
@@ -64,6 +65,7 @@
 		Sequence: root.Sequence(),
 		Epoch:    root.Epoch(),
 		Complete: root.Complete(),
+		Leaving:  root.Leaving(),
 		Entries:  entries,
 	}, nil
 }
--- a/internal/quota/holders.go
+++ b/internal/quota/holders.go
@@ -57,7 +57,7 @@
 	a.drop(now, h)
 	h.former = append(h.former, h.life)
 	h.former = h.former[max(0, len(h.former)-formerLives):]
-	h.life, h.sequence, h.renewedAt = life, 0, now
+	h.life, h.sequence, h.renewedAt, h.left = life, 0, now, false
 	a.hear(now, h)
 }
 
@@ -98,16 +98,28 @@
 	return addresses
 }
 
-// isSilent tells whether a life is registered that holds nothing and has long not renewed.
+// leave ends the leases of a life that is about to end. The next allocator need not wait for it.
+func (a *Allocator) leave(now time.Time, h *holder) {
+	a.drop(now, h)
+	a.hear(now, h)
+	h.left = true
+	a.silent = true
+}
+
+// isSilent tells whether a life is registered that holds nothing and has left, or has not renewed for so long that all its
+// leases have ended: an allocator that begins waits for each life that is registered.
 func (a *Allocator) isSilent(now time.Time, h *holder) bool {
-	return a.isSettled(now) && h.registered && len(h.leases) == 0 && now.Sub(h.renewedAt) > silentLeases*a.policy.Lease
+	if !h.registered || len(h.leases) > 0 {
+		return false
+	}
+	return h.left || (a.isSettled(now) && now.Sub(h.renewedAt) > a.policy.Lease+HeadshipProof)
 }
 
 // HasSilent tells whether there are lives that TakeSilent would give.
 func (a *Allocator) HasSilent() bool { return a.silent }
 
-// TakeSilent gives the registered lives that hold nothing and have long not renewed. They are not registered any more for
-// this allocator, so that their removal can be proposed.
+// TakeSilent gives the registered lives that hold nothing and have left, or have not renewed for longer than a lease lasts.
+// They are not registered any more for this allocator, so that their removal can be proposed.
 func (a *Allocator) TakeSilent(now time.Time) []Holder {
 	a.silent = false
 	var silent []Holder
--- a/internal/quota/limiter.go
+++ b/internal/quota/limiter.go
@@ -22,6 +22,7 @@
 	failurePause   = 150 * time.Millisecond // before the next call after one that failed
 	unreachableFor = 200 * time.Millisecond // after a failed call requests do not wait for a grant
 	defaultWait    = 60 * time.Millisecond  // of a request for a token, at most
+	leaveTries     = 3
 )
 
 // Caller sends a message to another node and waits for the answer.
@@ -130,11 +131,29 @@
 	}
 }
 
+// Leave gives up all leases and tells the allocator so, as the process is about to end: an allocator that begins later would wait
+// for it until its leases have ended. It must be called after Run has returned, and after the last request was sent.
+func (l *Limiter) Leave(ctx context.Context) {
+	if l.sequence == 0 {
+		return // this life has never been registered
+	}
+	l.mutex.Lock()
+	l.budgets.forget()
+	l.mutex.Unlock()
+	for range leaveTries {
+		a, err := l.call(ctx, round{complete: true, leaving: true})
+		if err == nil && !a.moved {
+			return
+		}
+	}
+}
+
 // round is what one renewal is about.
 type round struct {
 	waiters  map[string][]*waiter
 	entries  []Entry
 	complete bool
+	leaving  bool
 }
 
 // renew makes one call, and a second one if the allocator has moved. It gives false when it reached no allocator.
@@ -186,7 +205,7 @@
 		return nil, err
 	}
 	l.sequence++
-	renewal := &Renewal{Life: l.life, Sequence: l.sequence, Epoch: epoch, Complete: r.complete, Entries: r.entries}
+	renewal := &Renewal{Life: l.life, Sequence: l.sequence, Epoch: epoch, Complete: r.complete, Leaving: r.leaving, Entries: r.entries}
 	body, err := encodeRenewal(renewal)
 	if err != nil {
 		return nil, err
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -103,7 +103,9 @@
 	Epoch uint64
 	// Complete tells that the entries hold all leases of the proxy.
 	Complete bool
-	Entries  []Entry
+	// Leaving tells that the proxy is about to end, and holds nothing any more.
+	Leaving bool
+	Entries []Entry
 }
 
 // Grant is one tenant's part of an answer.
--- a/internal/quota/quotawire/quota.capnp
+++ b/internal/quota/quotawire/quota.capnp
@@ -14,6 +14,8 @@
   # Newest epoch of an allocator that the process has heard of.
   complete @4 :Bool;
   # The entries hold all leases of the process.
+  leaving @5 :Bool;
+  # The process is about to end: it holds nothing and asks for nothing any more.
 }
 
 struct RequestEntry {
--- a/internal/quota/service.go
+++ b/internal/quota/service.go
@@ -186,7 +186,11 @@
 	if allocator == nil {
 		return nil, s.registrar.start(), nil
 	}
-	if allocator.Admit(from) == Unregistered {
+	admission := allocator.Admit(from)
+	if admission == Unregistered && r.Leaving {
+		return &answer{epoch: s.epoch}, nil, nil // it holds nothing that anybody would wait for
+	}
+	if admission == Unregistered {
 		return nil, s.registrar.add(from), nil
 	}
 	grants, err := allocator.Renew(now, from, r)
