A view never names two replicas with one address

By reading: a replica that lost its disk could join, by its request, before the table of members told that its address belongs to it now; the lost one would have been held beside it, and one address would have had two votes. An answer from the address of another replica proves that the disk is lost. TestViewNamesNoAddressTwice fails without.

--- a/internal/view/policy.go
+++ b/internal/view/policy.go
@@ -18,8 +18,9 @@
 	DiskLost bool
 }
 
-// Confirm takes those candidates for reachable only that answered a proposer, members for complete only that said so, and
-// those for leaving that said so as well. So a view never counts on a replica that is gone without that being noticed yet.
+// Confirm takes those candidates for reachable only that answered a proposer, members for complete only that said so, those for
+// leaving that said so as well, and the disks of those for lost at whose addresses other replicas answered. So a view never
+// counts on a replica that is gone without that being noticed yet, and never names two with one address.
 func Confirm(candidates []Candidate, answers []Promise) []Candidate {
 	confirmed := slices.Clone(candidates)
 	for i := range confirmed {
@@ -28,6 +29,9 @@
 		candidate.Reachable = candidate.Reachable && at >= 0
 		candidate.Complete = at >= 0 && answers[at].Complete
 		candidate.Leaving = candidate.Leaving || (at >= 0 && answers[at].Leaving)
+		candidate.DiskLost = candidate.DiskLost || slices.ContainsFunc(answers, func(p Promise) bool {
+			return p.Sender.Address == candidate.Address && p.Sender.Replica != candidate.Replica
+		})
 	}
 	return confirmed
 }
--- a/internal/view/policy_test.go
+++ b/internal/view/policy_test.go
@@ -252,6 +252,20 @@
 	}
 }
 
+// A replica that lost its disk answers as another one before membership tells so: the view names only one of the two.
+func TestViewNamesNoAddressTwice(t *testing.T) {
+	current := testView()
+	wiped := testMember(4)
+	wiped.Address = testMember(3).Address
+	candidates := append(healthy(current), Candidate{Member: wiped, Reachable: true, CaughtUp: true})
+	var answers []Promise
+	for _, sender := range []Member{testMember(1), testMember(2), wiped} {
+		answers = append(answers, Promise{Sender: sender, Complete: sender.Replica == 1})
+	}
+	next := mustNext(t, current, Confirm(candidates, answers), testPolicyWithVoters)
+	expect(t, next, []int{1, 2, 4}, []int{1, 2, 4})
+}
+
 // A view that an earlier version of the program decided names no voters: its members vote.
 func TestViewWithoutVoters(t *testing.T) {
 	if v := testView(); !v.HasVoter(2) || v.HasVoter(4) || v.Majority() != 2 {
