Only holders of quota leases that membership holds for gone are forgotten when their leases have ended

Cause: since each life was taken out of the register a lease time after its last renewal.

Change: the allocator asks the table of members. One that ends in order still gives its leases up at once.

--- a/cmd/nickelline/control.go
+++ b/cmd/nickelline/control.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"time"
 
 	"nickelline/internal/configuration"
@@ -88,10 +89,16 @@
 	}
 	limits := func(tenant string) quota.Limit { return limitOf(role.State().Configuration, tenant) }
 	policy := quota.PolicyOf(&n.settings.Bounds)
-	service := quota.NewService(policy, headship, holderRegister{role}, limits, n.transport, n.log)
+	service := quota.NewService(policy, headship, holderRegister{role}, limits, n.isGone, n.transport, n.log)
 	role.OnView(func(v view.View, head bool) { service.ObserveView(v.Epoch, head) })
 }
 
+// isGone tells whether no process is known to run at an address.
+func (n *node) isGone(address netip.AddrPort) bool {
+	found, known := n.members.Table().Get(address)
+	return !known || !found.Running()
+}
+
 func limitOf(snapshot *configuration.Snapshot, tenant string) quota.Limit {
 	if snapshot == nil {
 		return quota.Limit{}
--- a/internal/quota/allocator.go
+++ b/internal/quota/allocator.go
@@ -18,6 +18,7 @@
 	retryMost      = time.Second            // longest time told until more may be granted
 	retryUnsettled = 50 * time.Millisecond  // told while the allocator waits for leases to be presented
 	sweepInterval  = 500 * time.Millisecond // between looks for leases that have ended
+	silentLeases   = 4                      // a registered life is forgotten after so many lease times without a renewal
 	formerLives    = 8                      // of a proxy that are remembered, to know their late messages
 
 	// HeadshipProof is how long after a proof of headship a node may act as allocator.
@@ -39,7 +40,9 @@
 	tenants map[string]*account
 	holders map[netip.AddrPort]*holder
 	unheard int  // holders that have still to present the leases of a former allocator
-	silent  bool // some registered lives have left, or have not renewed for longer than a lease lasts
+	silent  bool // some registered lives have left or are gone, or have long not renewed
+	// gone tells whether the process at an address is known not to run; nil: it is never known.
+	gone func(netip.AddrPort) bool
 }
 
 // holder is what the allocator keeps of a proxy.
@@ -269,7 +272,7 @@
 		if len(h.leases) == 0 && !h.registered {
 			delete(a.holders, address)
 		}
-		a.silent = a.silent || a.isSilent(now, h)
+		a.silent = a.silent || a.isSilent(now, address, h)
 	}
 }
 
--- a/internal/quota/holders.go
+++ b/internal/quota/holders.go
@@ -106,25 +106,28 @@
 	a.silent = true
 }
 
-// isSilent tells whether a life is registered that holds nothing and has left, or has not renewed for so long that all its
-// leases have ended: an allocator that begins waits for each life that is registered.
-func (a *Allocator) isSilent(now time.Time, h *holder) bool {
+// isSilent tells whether a life is registered that holds nothing and has left, is gone since its leases have ended, or has long
+// not renewed: an allocator that begins waits for each life that is registered. One that runs stays registered for longer, as it
+// would have to be registered again before it is granted anything.
+func (a *Allocator) isSilent(now time.Time, address netip.AddrPort, h *holder) bool {
 	if !h.registered || len(h.leases) > 0 {
 		return false
 	}
-	return h.left || (a.isSettled(now) && now.Sub(h.renewedAt) > a.policy.Lease+HeadshipProof)
+	silence := now.Sub(h.renewedAt)
+	isGone := silence > a.policy.Lease+HeadshipProof && a.gone != nil && a.gone(address)
+	return h.left || (a.isSettled(now) && (isGone || silence > silentLeases*a.policy.Lease))
 }
 
 // HasSilent tells whether there are lives that TakeSilent would give.
 func (a *Allocator) HasSilent() bool { return a.silent }
 
-// TakeSilent gives the registered lives that hold nothing and have left, or have not renewed for longer than a lease lasts.
-// They are not registered any more for this allocator, so that their removal can be proposed.
+// TakeSilent gives the registered lives that hold nothing and have left or are gone, or have long not renewed. They are not
+// registered any more for this allocator, so that their removal can be proposed.
 func (a *Allocator) TakeSilent(now time.Time) []Holder {
 	a.silent = false
 	var silent []Holder
 	for address, h := range a.holders {
-		if a.isSilent(now, h) {
+		if a.isSilent(now, address, h) {
 			h.registered = false
 			silent = append(silent, Holder{Address: address, Life: h.life})
 		}
--- a/internal/quota/leave_test.go
+++ b/internal/quota/leave_test.go
@@ -78,3 +78,23 @@
 		}
 	}
 }
+
+// A life that is gone is forgotten when its leases have ended; one that runs without a renewal stays registered for longer.
+func TestGoneLifeIsForgottenWithItsLeases(t *testing.T) {
+	for _, gone := range []bool{false, true} {
+		a, now := settledAllocator(testLimit)
+		a.gone = func(address netip.AddrPort) bool { return gone && address == testHolder.Address }
+		mustRenew(t, a, now, testHolder, 1, Entry{Tenant: "t", Demand: 100})
+		renewedAgain := now.Add(rulePolicy.Lease)
+		mustRenew(t, a, renewedAgain, otherHolder, 1, Entry{Tenant: "t", Demand: 100})
+		if a.HasSilent() {
+			t.Error("a life that holds a lease is to be removed")
+		}
+		ended := now.Add(rulePolicy.Lease + HeadshipProof + time.Second)
+		mustRenew(t, a, ended, otherHolder, 2, Entry{Tenant: "t", Demand: 100})
+		mustRenew(t, a, ended.Add(sweepInterval), otherHolder, 3, Entry{Tenant: "t", Demand: 100})
+		if a.HasSilent() != gone {
+			t.Errorf("gone is %v, to be removed %v", gone, a.HasSilent())
+		}
+	}
+}
--- a/internal/quota/service.go
+++ b/internal/quota/service.go
@@ -39,6 +39,7 @@
 	policy    Policy
 	headship  Headship
 	limits    func(tenant string) Limit
+	gone      func(netip.AddrPort) bool
 	transport *peer.Transport
 	log       *zap.Logger
 	registrar registrar
@@ -49,11 +50,13 @@
 	preparing bool
 }
 
-// NewService makes the service of a control node and registers it with the transport.
+// NewService makes the service of a control node and registers it with the transport. Gone tells whether the process at an address
+// is known not to run.
 func NewService(
-	p Policy, h Headship, r Register, limits func(tenant string) Limit, t *peer.Transport, log *zap.Logger,
+	p Policy, h Headship, r Register, limits func(tenant string) Limit, gone func(netip.AddrPort) bool,
+	t *peer.Transport, log *zap.Logger,
 ) *Service {
-	s := &Service{policy: p, headship: h, limits: limits, transport: t, log: log}
+	s := &Service{policy: p, headship: h, limits: limits, gone: gone, transport: t, log: log}
 	s.registrar = registrar{service: s, register: r, finished: make(chan struct{})}
 	t.Handle(kindRenew, s.renew)
 	s.prepareSoon()
@@ -119,6 +122,7 @@
 func (s *Service) begin(now time.Time, epoch uint64, registered []Holder) {
 	s.log.Info("quota allocator begins", zap.Uint64("epoch", epoch), zap.Int("holders", len(registered)))
 	s.allocator = NewAllocator(s.policy, s.limits, registered, now)
+	s.allocator.gone = s.gone
 	s.epoch = epoch
 	s.announce(now, s.allocator)
 }
