--- a/internal/chain/second_loss_test.go
+++ b/internal/chain/second_loss_test.go
@@ -116,10 +116,7 @@
 		if slices.Contains(wiped, target) {
 			continue
 		}
-		s.note("disk lost %d", target.index)
-		s.losses.total++
-		s.losses.unrepaired++
-		s.wipe(target, back)
+		s.takeDisk(target, back)
 		wiped = append(wiped, target)
 	}
 	if len(wiped) == 0 || s.random.IntN(4) == 0 {
--- a/internal/chain/simulation_losses_test.go
+++ b/internal/chain/simulation_losses_test.go
@@ -72,9 +72,6 @@
 	if !s.mayLoseDisk() {
 		return
 	}
-	s.losses.total++
-	s.losses.unrepaired++
-	s.note("disk lost %d", site.index)
 	if s.random.IntN(3) == 0 {
 		s.note("and power loss of all")
 		for _, other := range s.sites {
@@ -83,7 +80,15 @@
 			}
 		}
 	}
-	s.wipe(site, duration)
+	s.takeDisk(site, duration)
+}
+
+// takeDisk counts the loss of a site's disk and wipes it.
+func (s *simulation) takeDisk(site *site, back time.Duration) {
+	s.note("disk lost %d", site.index)
+	s.losses.total++
+	s.losses.unrepaired++
+	s.wipe(site, back)
 }
 
 // wipe has a site come back with an empty disk after a time.
