A call outlives any number of retirements of its connection

Cause: a frame was tried on four connections, and one that had been retired between the look and the use counted as one of them. Retired connections no longer count: only closed ones do.

--- a/internal/peer/connection.go
+++ b/internal/peer/connection.go
@@ -121,9 +121,12 @@
 func (c *connection) enqueue(frame outgoing, call *pendingCall) error {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	if c.retired {
+	if c.closed {
 		return errConnectionClosed
 	}
+	if c.retired {
+		return errRetired
+	}
 	if c.queuedBytes >= maxQueuedBytes {
 		return errQueueFull
 	}
--- a/internal/peer/idle.go
+++ b/internal/peer/idle.go
@@ -13,7 +13,10 @@
 	sweepsToRetire = 3
 )
 
-var errIdle = errors.New("connection was idle")
+var (
+	errIdle    = errors.New("connection was idle")
+	errRetired = errors.New("nothing new begins on the connection")
+)
 
 // sweep looks for idle connections until Close.
 func (t *Transport) sweep() {
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -179,12 +179,16 @@
 	return c.wait(ctx, id, call)
 }
 
-// enqueue adds a frame to the connection to a peer, and to another one if that has just been closed or retired.
+// enqueue adds a frame to the connection to a peer, and to another one if that has just been closed or retired. A
+// retirement is no failure, so only closed connections count as attempts.
 func (t *Transport) enqueue(to netip.AddrPort, frame outgoing, call *pendingCall) (*connection, error) {
-	for range attempts {
+	for closed := 0; closed < attempts; {
 		c := t.connection(to)
 		err := c.enqueue(frame, call)
-		if !errors.Is(err, errConnectionClosed) {
+		switch {
+		case errors.Is(err, errConnectionClosed):
+			closed++
+		case !errors.Is(err, errRetired):
 			return c, err
 		}
 		t.withdraw(c)
--- a/internal/peer/transport_test.go
+++ b/internal/peer/transport_test.go
@@ -478,6 +478,33 @@
 	calls.Wait()
 }
 
+// TestCallOutlivesManyRetirements retires each connection as soon as there is one, more often than closed ones are tried.
+func TestCallOutlivesManyRetirements(t *testing.T) {
+	a, b := listen(t), listen(t)
+	b.Handle(testKind, echo)
+	a.Start()
+	b.Start()
+	ended, stopped := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(stopped)
+		for range 5000 {
+			select {
+			case <-ended:
+				return
+			default:
+				a.connection(b.Address()).retire()
+			}
+		}
+	}()
+	for range 100 {
+		if _, err := a.Call(testContext(t), b.Address(), Message{Kind: testKind}); err != nil {
+			t.Error(err)
+		}
+	}
+	close(ended)
+	<-stopped
+}
+
 func BenchmarkCall(b *testing.B) {
 	from, to := listen(b), listen(b)
 	to.Handle(testKind, echo)
