Nodes share what they have at each backend, for backends that do not tell their load

Cause: with a service whose backends tell nothing, each node knew its own requests only. On the new deployment the batch jobs filled the slots of all backends (n of 250 to 290 of 384 slots) and live requests waited behind them; each proxy found dark backends alone, and picked by a latency of seconds ago.

Change: package load. Nodes report what they have at the backends to a collector of their zone, chosen by the table of members; collectors exchange the sums of zones. Live requests ask it before they choose. Batch work takes the room that live requests leave, by the sum and by the part of the slots that live requests have lately taken; without news it keeps to a quarter of the slots. Silence of backends is judged by all nodes of the zone.

--- a/cmd/nickelline/node.go
+++ b/cmd/nickelline/node.go
@@ -8,8 +8,10 @@
 
 	"go.uber.org/zap"
 
+	"nickelline/internal/admission"
 	"nickelline/internal/discovery"
 	"nickelline/internal/gossip"
+	"nickelline/internal/load"
 	"nickelline/internal/member"
 	"nickelline/internal/nodestate"
 	"nickelline/internal/peer"
@@ -35,6 +37,7 @@
 	transport *peer.Transport
 	members   *member.Service
 	gossip    *gossip.Service
+	loads     *load.Service
 	stop      context.CancelFunc
 }
 
@@ -58,6 +61,13 @@
 	transport.SetNear(n.isNear)
 	n.members = member.New(self, p.settings.SeedInternal(), transport, p.log)
 	n.gossip = gossip.New(self, n.members.Table, transport, n.heartbeat(), p.log)
+	n.loads = load.New(load.Options{
+		Zone:          self.Zone,
+		Transport:     transport,
+		Members:       n.members.Table,
+		PreferredRole: roleControl,
+		Log:           p.log,
+	})
 	return n, nil
 }
 
@@ -78,6 +88,7 @@
 		Zone:   n.settings.Zone,
 		Seed:   rand.Uint64(),
 		Source: n.gossip,
+		OnPool: func(service string, pool *admission.Pool) { n.loads.Add(service, pool) },
 		Log:    n.log,
 	})
 }
--- a/cmd/nickelline/proxy.go
+++ b/cmd/nickelline/proxy.go
@@ -57,6 +57,7 @@
 		MaxProofAge:   maxProofAge(p.settings),
 		BackendsKnown: func() bool { return state.Backends() != nil },
 		Pick:          proxy.PickFrom(state.Pool),
+		Loads:         n.loads,
 		Sender:        sender,
 		Quota:         limiter,
 		Batch:         newLots(n, state),
@@ -68,6 +69,7 @@
 	defer stop()
 	n.start()
 	go sender.Run(ctx)
+	go n.loads.Run(ctx)
 	renewing := runLimiter(ctx, limiter)
 	if err := n.readBackends(ctx); err != nil {
 		return err
--- a/cmd/nickelline/store.go
+++ b/cmd/nickelline/store.go
@@ -76,6 +76,7 @@
 	state.OnPlacement(role.SetPlacement)
 	n.start()
 	go sender.Run(ctx)
+	go n.loads.Run(ctx)
 	go role.Run(ctx)
 	if err := n.readBackends(ctx); err != nil {
 		return err
--- a/internal/admission/pool.go
+++ b/internal/admission/pool.go
@@ -49,6 +49,13 @@
 	size      float64 // mean tokens of a request
 	firstPart float64 // of a request's time, until the first part of its answer
 
+	usedAt     time.Time // of the last request
+	reportedAt time.Time
+	sharedAt   time.Time // when it was told what all nodes have
+	byKey      map[uint32]*server
+	livePart   float64 // of the slots that live requests of all nodes take
+	livePartAt time.Time
+
 	buffer [bands][]candidate
 }
 
@@ -105,6 +112,10 @@
 	}
 	p.known = known
 	p.servers = servers
+	p.byKey = make(map[uint32]*server, len(servers))
+	for _, s := range servers {
+		p.byKey[s.key()] = s
+	}
 }
 
 // Len is how many backends are in use.
@@ -121,6 +132,7 @@
 	if p.startAt.IsZero() {
 		p.startAt = now
 	}
+	p.usedAt = now
 	c := classOf(&r)
 	p.arrived(now, c)
 	survey := p.survey(now, &r, c, false)
@@ -165,7 +177,7 @@
 			continue
 		}
 		p.judgeSilence(now, s)
-		if !ejected && !s.failures.open(now) {
+		if !ejected && (!s.failures.open(now) || s.triedByOthers(now, p)) {
 			continue
 		}
 		p.consider(now, s, c, &found)
@@ -184,6 +196,9 @@
 	n := s.weight + others
 	latency := s.latencyNow(now, p)
 	t := p.thresholdsOf(now, s, c, n, latency)
+	if c == lot && p.isShared(now) {
+		n = s.lotCount(p)
+	}
 	mode := s.mode(now, c, t, n)
 	found.usable++
 	found.excess += max(0, n/t.high-1)
@@ -191,7 +206,7 @@
 		found.depth++
 		return
 	}
-	if c == lot && s.prompts(now) >= p.lotPrompts(latency) {
+	if c == lot && s.prompts(now, p) >= p.lotPrompts(latency) {
 		found.awaited = found.awaited || s.near
 		return
 	}
@@ -206,7 +221,7 @@
 	if s.near {
 		b--
 	}
-	score := s.score(now, s.ahead(now, n, others, p.streams()), latency)
+	score := s.score(now, s.ahead(now, n, others, p), latency)
 	p.buffer[b] = append(p.buffer[b], candidate{server: s, latency: latency, score: score})
 }
 
--- a/internal/admission/pool_test.go
+++ b/internal/admission/pool_test.go
@@ -162,7 +162,7 @@
 		ticket.Done(at(0), Cancelled, nil)
 	}
 	for range 10 { // (n+1) x latency of the quick one is now higher
-		p.servers[1].sent(at(0), 1)
+		p.servers[1].sent(at(0), live, 1)
 	}
 	if ticket := mustPick(t, p, at(0), Request{}); ticket.server != slow {
 		t.Error("the busier backend was taken")
--- a/internal/admission/server.go
+++ b/internal/admission/server.go
@@ -31,6 +31,7 @@
 	coldEnd time.Time
 
 	inFlight int     // of this node
+	batch    int     // of those, lot work
 	weight   float64 // of those, by their sizes
 
 	modes        [classes]decide.Mode
@@ -48,6 +49,7 @@
 	unanswered int       // attempts without a first part of an answer
 	silentFrom time.Time // since when none of them was answered
 
+	shared   sharedLoad
 	failures health
 }
 
@@ -101,6 +103,9 @@
 
 // othersNow is how many requests other nodes are taken to have at the backend.
 func (s *server) othersNow(now time.Time, p *Pool) float64 {
+	if p.isShared(now) {
+		return s.shared.inFlight
+	}
 	if s.reportAt.IsZero() {
 		return p.typicalOthers(now, s.slots)
 	}
@@ -146,23 +151,32 @@
 }
 
 // prompts is how many requests of all nodes are taken to have no first part of an answer.
-func (s *server) prompts(now time.Time) float64 {
+func (s *server) prompts(now time.Time, p *Pool) float64 {
+	if p.isShared(now) {
+		return float64(s.unanswered) + s.shared.unanswered
+	}
 	return float64(s.unanswered) + s.waitingOfOthers*remaining(now.Sub(s.reportAt), reportMemory)
 }
 
 // ahead is how many requests stand before a new one. Where answers are streams, most of the work of a request comes
 // before its first part, and running streams count little; waiting requests have all of theirs before them.
-func (s *server) ahead(now time.Time, n, others float64, streams bool) float64 {
-	if !streams {
+func (s *server) ahead(now time.Time, n, others float64, p *Pool) float64 {
+	if !p.streams() {
 		return n
 	}
+	if p.isShared(now) {
+		return s.pending + s.shared.pending + waitingWeight*max(0, n+1-s.slots) + runningWeight*n
+	}
 	waiting := min(others, float64(s.waiting)*remaining(now.Sub(s.reportAt), reportMemory))
 	running := max(0, n-s.pending-waiting)
 	return s.pending + waitingWeight*waiting + runningWeight*running
 }
 
 // sent counts a request that goes to the backend.
-func (s *server) sent(now time.Time, weight float64) {
+func (s *server) sent(now time.Time, c class, weight float64) {
+	if c == lot {
+		s.batch++
+	}
 	if s.unanswered == 0 {
 		s.silentFrom = now
 	}
@@ -173,7 +187,10 @@
 }
 
 // gone counts a request that has left the backend.
-func (s *server) gone(weight float64) {
+func (s *server) gone(c class, weight float64) {
+	if c == lot {
+		s.batch--
+	}
 	s.inFlight--
 	s.weight -= weight
 	if s.inFlight == 0 {
--- a/internal/admission/thresholds.go
+++ b/internal/admission/thresholds.go
@@ -14,6 +14,12 @@
 	lotLeast     = 0.1  // and comes down to this part where
 	lotCrowding  = 2.5  // answers take longer than this multiple of the uncrowded latency
 	lotBlock     = 2.0  // R of lot work as a multiple of H
+	// Where it is known what all nodes have at a backend, lot work takes the room that live requests leave:
+	lotSharedPart  = 0.9 // H as a part of the slots,
+	lotSharedBlock = 1.2 // and R
+	// Where nobody tells, other nodes may have as much there:
+	lotBlindPart  = 0.25  // H as a part of the slots,
+	lotBlindBlock = 0.375 // and R
 	// lotPrompts is how many requests of all nodes an uncrowded backend may have without a first part of an answer for lot
 	// work to be blocked there: its prompts come by the dozen and would hold up live ones. It falls with the crowding.
 	lotPrompts = 1.5
@@ -29,10 +35,17 @@
 func (p *Pool) thresholdsOf(now time.Time, s *server, c class, n, latency float64) thresholds {
 	crowding := p.crowding(latency)
 	var t thresholds
-	if c == lot {
+	switch {
+	case c == lot && p.isShared(now):
+		t.high = lotSharedPart * s.slots
+		t.block = lotSharedBlock * s.slots
+	case c == lot && !p.tellsLoad():
+		t.high = lotBlindPart * s.slots
+		t.block = lotBlindBlock * s.slots
+	case c == lot:
 		t.high = within(n*lotCrowding/crowding, lotLeast*s.slots, lotPart*s.slots)
 		t.block = lotBlock * t.high
-	} else {
+	default:
 		t.high = within(n*highCrowding/crowding, s.steadySlots(), s.slots)
 		t.block = within(n*fullCrowding/crowding, blockPart*t.high, (1+queuePart)*s.slots)
 	}
--- a/internal/admission/ticket.go
+++ b/internal/admission/ticket.go
@@ -13,6 +13,7 @@
 	pool   *Pool
 	server *server
 	sentAt time.Time
+	class  class
 	weight float64
 	trial  bool // at a backend that is ejected
 	done   bool
@@ -28,10 +29,11 @@
 		pool:    p,
 		server:  s,
 		sentAt:  now,
+		class:   classOf(r),
 		weight:  p.weigh(r.Tokens),
 		trial:   s.failures.ejected,
 	}
-	s.sent(now, t.weight)
+	s.sent(now, t.class, t.weight)
 	if t.trial {
 		s.failures.trials++
 	}
@@ -107,7 +109,7 @@
 	if outcome == OK {
 		p.finished(t.startedAt.Sub(t.sentAt), now.Sub(t.sentAt))
 	}
-	s.gone(t.weight)
+	s.gone(t.class, t.weight)
 	if t.trial {
 		s.failures.trials--
 	}
--- /dev/null
+++ b/internal/load/codec.go
@@ -0,0 +1,190 @@
+package load
+
+import (
+	"math"
+	"time"
+
+	"capnproto.org/go/capnp/v3"
+	"github.com/ansel1/merry/v2"
+
+	"nickelline/internal/admission"
+	"nickelline/internal/capnpcodec"
+	"nickelline/internal/load/loadwire"
+)
+
+const (
+	// silenceUnit is the resolution of times of silence, mostSilence the longest one that can be told.
+	silenceUnit = 20 * time.Millisecond
+	mostSilence = math.MaxUint8 * silenceUnit
+	// pendingUnits is how many units a request of mean size has.
+	pendingUnits = 100
+)
+
+// errLengths: a message does not name as many backends as it has loads.
+var errLengths = merry.New("other numbers of backends and of loads")
+
+// bytesOf estimates the length of a message with some loads.
+func bytesOf(loads []admission.BackendLoad) int { return 160 + 12*len(loads) }
+
+func encodeReport(r *report) ([]byte, error) {
+	data, err := capnpcodec.Marshal(bytesOf(r.loads), loadwire.NewRootReport, func(root loadwire.Report) error {
+		root.SetComplete(r.complete)
+		root.SetUnasking(r.unasking)
+		if err := root.SetService(r.service); err != nil {
+			return err
+		}
+		if err := encodeBackends(root.NewBackends, r.loads); err != nil {
+			return err
+		}
+		return encodeLoads(root.NewLoads, r.loads)
+	})
+	return data, merry.Prepend(err, "encode load report")
+}
+
+func decodeReport(data []byte) (*report, error) {
+	root, err := capnpcodec.Unmarshal(data, loadwire.ReadRootReport)
+	if err != nil {
+		return nil, merry.Prepend(err, "decode load report")
+	}
+	r := &report{complete: root.Complete(), unasking: root.Unasking()}
+	if r.service, err = root.Service(); err != nil {
+		return nil, merry.Prepend(err, "decode load report")
+	}
+	if r.loads, err = decodeLoads(root.Loads()); err != nil {
+		return nil, merry.Prepend(err, "decode load report")
+	}
+	if err := decodeBackends(r.loads, root.Backends); err != nil {
+		return nil, merry.Prepend(err, "decode load report")
+	}
+	return r, nil
+}
+
+func encodeAnswer(a *answer) ([]byte, error) {
+	data, err := capnpcodec.Marshal(bytesOf(a.loads), loadwire.NewRootAnswer, func(root loadwire.Answer) error {
+		root.SetTable(a.table)
+		if err := root.SetService(a.service); err != nil {
+			return err
+		}
+		return encodeLoads(root.NewLoads, a.loads)
+	})
+	return data, merry.Prepend(err, "encode load answer")
+}
+
+func decodeAnswer(data []byte) (*answer, error) {
+	root, err := capnpcodec.Unmarshal(data, loadwire.ReadRootAnswer)
+	if err != nil {
+		return nil, merry.Prepend(err, "decode load answer")
+	}
+	a := &answer{table: root.Table()}
+	if a.service, err = root.Service(); err != nil {
+		return nil, merry.Prepend(err, "decode load answer")
+	}
+	if a.loads, err = decodeLoads(root.Loads()); err != nil {
+		return nil, merry.Prepend(err, "decode load answer")
+	}
+	return a, nil
+}
+
+func encodeSummary(s *summary) ([]byte, error) {
+	data, err := capnpcodec.Marshal(bytesOf(s.loads), loadwire.NewRootSummary, func(root loadwire.Summary) error {
+		root.SetPart(s.part)
+		if err := root.SetService(s.service); err != nil {
+			return err
+		}
+		if err := root.SetZone(s.zone); err != nil {
+			return err
+		}
+		if err := encodeBackends(root.NewBackends, s.loads); err != nil {
+			return err
+		}
+		return encodeLoads(root.NewLoads, s.loads)
+	})
+	return data, merry.Prepend(err, "encode load summary")
+}
+
+func decodeSummary(data []byte) (*summary, error) {
+	root, err := capnpcodec.Unmarshal(data, loadwire.ReadRootSummary)
+	if err != nil {
+		return nil, merry.Prepend(err, "decode load summary")
+	}
+	s := &summary{part: root.Part()}
+	if s.service, err = root.Service(); err != nil {
+		return nil, merry.Prepend(err, "decode load summary")
+	}
+	if s.zone, err = root.Zone(); err != nil {
+		return nil, merry.Prepend(err, "decode load summary")
+	}
+	if s.loads, err = decodeLoads(root.Loads()); err != nil {
+		return nil, merry.Prepend(err, "decode load summary")
+	}
+	if err := decodeBackends(s.loads, root.Backends); err != nil {
+		return nil, merry.Prepend(err, "decode load summary")
+	}
+	return s, nil
+}
+
+func encodeBackends(newList func(int32) (capnp.UInt32List, error), loads []admission.BackendLoad) error {
+	list, err := newList(int32(len(loads)))
+	if err != nil {
+		return err
+	}
+	for i := range loads {
+		list.Set(i, loads[i].Backend)
+	}
+	return nil
+}
+
+// decodeBackends names the backends of loads.
+func decodeBackends(loads []admission.BackendLoad, read func() (capnp.UInt32List, error)) error {
+	list, err := read()
+	if err != nil {
+		return err
+	}
+	if list.Len() != len(loads) {
+		return errLengths
+	}
+	for i := range loads {
+		loads[i].Backend = list.At(i)
+	}
+	return nil
+}
+
+func encodeLoads(newList func(int32) (loadwire.Load_List, error), loads []admission.BackendLoad) error {
+	list, err := newList(int32(len(loads)))
+	if err != nil {
+		return err
+	}
+	for i := range loads {
+		entry := list.At(i)
+		entry.SetInFlight(saturated(loads[i].InFlight))
+		entry.SetBatch(saturated(loads[i].Batch))
+		entry.SetUnanswered(uint8(min(max(loads[i].Unanswered, 0), math.MaxUint8)))
+		entry.SetSilence(uint8(min(max(loads[i].Silence, 0), mostSilence) / silenceUnit))
+		entry.SetPending(saturated(int(loads[i].Pending*pendingUnits + 0.5)))
+	}
+	return nil
+}
+
+// saturated gives the nearest number that fits.
+func saturated(number int) uint16 { return uint16(min(max(number, 0), math.MaxUint16)) }
+
+func decodeLoads(list loadwire.Load_List, err error) ([]admission.BackendLoad, error) {
+	if err != nil {
+		return nil, err
+	}
+	if err := capnpcodec.CheckLength(list); err != nil {
+		return nil, err
+	}
+	loads := make([]admission.BackendLoad, list.Len())
+	for i := range loads {
+		entry := list.At(i)
+		loads[i] = admission.BackendLoad{
+			InFlight:   int(entry.InFlight()),
+			Batch:      int(entry.Batch()),
+			Unanswered: int(entry.Unanswered()),
+			Silence:    time.Duration(entry.Silence()) * silenceUnit,
+			Pending:    float64(entry.Pending()) / pendingUnits,
+		}
+	}
+	return loads, nil
+}
--- /dev/null
+++ b/internal/load/codec_test.go
@@ -0,0 +1,70 @@
+package load
+
+import (
+	"reflect"
+	"slices"
+	"testing"
+	"time"
+
+	"nickelline/internal/admission"
+)
+
+func TestMessagesAreReadAsWritten(t *testing.T) {
+	loads := []admission.BackendLoad{
+		{Backend: 1 << 31, InFlight: 300, Unanswered: 7, Batch: 200, Pending: 7.25, Silence: 3 * silenceUnit},
+		{Backend: 2},
+	}
+	r := &report{service: "s", loads: loads, complete: true, unasking: true}
+	if body, err := encodeReport(r); err != nil {
+		t.Error(err)
+	} else if got, err := decodeReport(body); err != nil || !reflect.DeepEqual(got, r) {
+		t.Errorf("report %+v, %v", got, err)
+	}
+	a := &answer{service: "s", loads: slices.Clone(loads), table: 77}
+	for i := range a.loads {
+		a.loads[i].Backend = 0 // an answer does not name them
+	}
+	if body, err := encodeAnswer(a); err != nil {
+		t.Error(err)
+	} else if got, err := decodeAnswer(body); err != nil || !reflect.DeepEqual(got, a) {
+		t.Errorf("answer %+v, %v", got, err)
+	}
+	s := &summary{service: "s", zone: "z", loads: loads, part: 3}
+	if body, err := encodeSummary(s); err != nil {
+		t.Error(err)
+	} else if got, err := decodeSummary(body); err != nil || !reflect.DeepEqual(got, s) {
+		t.Errorf("summary %+v, %v", got, err)
+	}
+}
+
+func TestLargeFiguresAreBounded(t *testing.T) {
+	body, err := encodeReport(&report{loads: []admission.BackendLoad{
+		{InFlight: 1 << 20, Unanswered: 1 << 20, Batch: 1 << 20, Silence: time.Hour}, {InFlight: -1, Unanswered: -1, Silence: -time.Second},
+	}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	r, err := decodeReport(body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if l := r.loads[0]; l.InFlight != 65535 || l.Unanswered != 255 || l.Silence != mostSilence {
+		t.Errorf("large figures: %+v", l)
+	}
+	if l := r.loads[1]; l != (admission.BackendLoad{}) {
+		t.Errorf("negative figures: %+v", l)
+	}
+}
+
+func FuzzMessages(f *testing.F) {
+	body, err := encodeReport(reportOf(true, loadOf(1, 2, 3)))
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(body)
+	f.Fuzz(func(_ *testing.T, data []byte) {
+		_, _ = decodeReport(data)
+		_, _ = decodeAnswer(data)
+		_, _ = decodeSummary(data)
+	})
+}
--- /dev/null
+++ b/internal/load/collector_test.go
@@ -0,0 +1,155 @@
+package load
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"nickelline/internal/admission"
+)
+
+var (
+	start  = time.Now()
+	nodeA  = netip.MustParseAddrPort("10.0.0.1:7660")
+	nodeB  = netip.MustParseAddrPort("10.0.0.2:7660")
+	remote = netip.MustParseAddrPort("10.0.1.1:7660")
+)
+
+func at(d time.Duration) time.Time { return start.Add(d) }
+
+func reportOf(complete bool, loads ...admission.BackendLoad) *report {
+	return &report{service: "s", loads: loads, complete: complete}
+}
+
+func loadOf(backend uint32, inFlight, unanswered int) admission.BackendLoad {
+	return admission.BackendLoad{Backend: backend, InFlight: inFlight, Unanswered: unanswered, Silence: time.Hour}
+}
+
+// told gives what an answer says of a backend.
+func told(a *answer, backend uint32) admission.BackendLoad {
+	for _, l := range a.loads {
+		if l.Backend == backend {
+			return l
+		}
+	}
+	return admission.BackendLoad{}
+}
+
+func TestSumsOfAllNodes(t *testing.T) {
+	c := newCollector("a")
+	c.takeReport(at(0), nodeA, reportOf(true, loadOf(1, 3, 1), loadOf(2, 0, 0)))
+	a := c.takeReport(at(time.Millisecond), nodeB, reportOf(true, loadOf(1, 2, 2), loadOf(2, 5, 0)))
+	if l := told(a, 1); l.InFlight != 5 || l.Unanswered != 3 {
+		t.Errorf("first backend: %+v", l)
+	}
+	if l := told(a, 2); l.InFlight != 5 || l.Unanswered != 0 {
+		t.Errorf("second backend: %+v", l)
+	}
+	a = c.takeReport(at(2*time.Millisecond), nodeB, reportOf(false, loadOf(1, 1, 0)))
+	if l := told(a, 1); l.InFlight != 4 || l.Unanswered != 1 {
+		t.Errorf("a newer report did not take the place of the older one: %+v", l)
+	}
+	if l := told(a, 2); l.InFlight != 0 {
+		t.Errorf("a backend that a report leaves out has %+v", l)
+	}
+}
+
+func TestIncompleteReportIsAskedFor(t *testing.T) {
+	c := newCollector("a")
+	if a := c.takeReport(at(0), nodeA, reportOf(false, loadOf(1, 1, 0))); a.table != 0 || len(a.loads) > 0 {
+		t.Errorf("answer to a node whose backends are not known: %+v", a)
+	}
+	if a := c.takeReport(at(0), nodeA, reportOf(true, loadOf(1, 1, 0))); a.table == 0 || told(a, 1).InFlight != 1 {
+		t.Errorf("answer to a complete report: %+v", a)
+	}
+	if a := c.takeReport(at(0), nodeA, reportOf(false)); a.table == 0 {
+		t.Error("the node's backends were forgotten")
+	}
+}
+
+func TestSilentNodesAreForgotten(t *testing.T) {
+	c := newCollector("a")
+	c.takeReport(at(0), nodeA, reportOf(true, loadOf(1, 7, 0)))
+	c.takeSummary(at(0), remote, &summary{service: "s", zone: "b", loads: []admission.BackendLoad{loadOf(1, 2, 0)}})
+	for now := time.Duration(0); now <= expiry; now += Interval {
+		if l := told(c.takeReport(at(now), nodeB, reportOf(true, loadOf(1, 1, 0))), 1); l.InFlight != 10 {
+			t.Errorf("after %v: %+v", now, l)
+		}
+	}
+	a := c.takeReport(at(expiry+2*Interval), nodeB, reportOf(true, loadOf(1, 1, 0)))
+	if l := told(a, 1); l.InFlight != 1 {
+		t.Errorf("what was not renewed still counts: %+v", l)
+	}
+}
+
+func TestSummariesOfOtherZones(t *testing.T) {
+	c := newCollector("a")
+	c.takeReport(at(0), nodeA, reportOf(true, loadOf(1, 3, 0)))
+	c.takeSummary(at(0), remote, &summary{service: "s", zone: "b", loads: []admission.BackendLoad{loadOf(1, 9, 4)}})
+	c.takeSummary(at(0), remote, &summary{service: "s", zone: "b", loads: []admission.BackendLoad{loadOf(1, 4, 2)}})
+	c.takeSummary(at(0), remote, &summary{service: "s", zone: "a", loads: []admission.BackendLoad{loadOf(1, 50, 0)}})
+	if l := told(c.takeReport(at(0), nodeA, reportOf(true, loadOf(1, 3, 0))), 1); l.InFlight != 7 || l.Unanswered != 2 {
+		t.Errorf("with another zone's requests: %+v", l)
+	}
+	sent := c.dueSummaries(at(0), "s")
+	if len(sent) != 1 || len(sent[0].loads) != 1 || sent[0].loads[0].InFlight != 3 {
+		t.Fatalf("summary of the own zone: %+v", sent)
+	}
+	if again := c.dueSummaries(at(Interval-1), "s"); again != nil {
+		t.Errorf("a second summary within an interval: %+v", again)
+	}
+}
+
+func TestLongSummariesComeInParts(t *testing.T) {
+	c := newCollector("a")
+	var loads []admission.BackendLoad
+	for i := range uint32(3*summaryPart - 1) {
+		loads = append(loads, loadOf(i, 1, 0))
+	}
+	c.takeReport(at(0), nodeA, reportOf(true, loads...))
+	other, sum := newCollector("b"), 0
+	for _, s := range c.dueSummaries(at(0), "s") {
+		body, err := encodeSummary(s)
+		if err != nil || len(body) > 1300 {
+			t.Fatalf("part of %d bytes: %v", len(body), err)
+		}
+		decoded, err := decodeSummary(body)
+		if err != nil {
+			t.Fatal(err)
+		}
+		other.takeSummary(at(0), nodeA, decoded)
+	}
+	for _, l := range other.takeReport(at(0), remote, reportOf(true, loads...)).loads {
+		sum += l.InFlight
+	}
+	if sum != 2*len(loads) {
+		t.Errorf("%d requests in all, want %d", sum, 2*len(loads))
+	}
+}
+
+func TestSilenceEndsWithAnyNodesAnswer(t *testing.T) {
+	c := newCollector("a")
+	waiting := admission.BackendLoad{Backend: 1, InFlight: 2, Unanswered: 2, Silence: time.Hour}
+	var a *answer
+	for now := time.Duration(0); now <= 400*time.Millisecond; now += Interval {
+		a = c.takeReport(at(now), nodeA, reportOf(true, waiting))
+	}
+	if l := told(a, 1); l.Silence != 400*time.Millisecond {
+		t.Errorf("silent for 400 ms: %v", l.Silence)
+	}
+	heard := admission.BackendLoad{Backend: 1, Silence: 10 * time.Millisecond}
+	a = c.takeReport(at(410*time.Millisecond), nodeB, reportOf(true, heard))
+	if l := told(a, 1); l.Silence != 10*time.Millisecond {
+		t.Errorf("another node has just heard the backend, silence is %v", l.Silence)
+	}
+}
+
+// A backend that nobody asked anything for long is not silent from the moment at which somebody does.
+func TestSilenceBeginsWithTheRequest(t *testing.T) {
+	c := newCollector("a")
+	c.takeReport(at(0), nodeA, reportOf(true, loadOf(1, 0, 0)))
+	a := c.takeReport(at(time.Minute), nodeA, reportOf(true, loadOf(1, 1, 1)))
+	if l := told(a, 1); l.Silence != 0 {
+		t.Errorf("silence of %v right after the first request", l.Silence)
+	}
+}
--- a/internal/nodestate/nodestate.go
+++ b/internal/nodestate/nodestate.go
@@ -32,7 +32,9 @@
 	Node, Zone string
 	Seed       uint64
 	Source     Source
-	Log        *zap.Logger
+	// OnPool, if set, is called with each new admission pool.
+	OnPool func(service string, pool *admission.Pool)
+	Log    *zap.Logger
 }
 
 // State is what a process knows. Its methods may be called at the same time.
@@ -113,6 +115,9 @@
 		pool = admission.NewPool(service, s.options.Node, s.options.Zone, s.options.Seed)
 		s.pools[service] = pool
 		s.fill(service, pool)
+		if s.options.OnPool != nil {
+			s.options.OnPool(service, pool)
+		}
 	}
 	return pool
 }
--- a/internal/peer/kinds.go
+++ b/internal/peer/kinds.go
@@ -17,4 +17,6 @@
 	BatchKinds Kind = 0x500
 	// ControlKinds is the first kind of package control.
 	ControlKinds Kind = 0x600
+	// LoadKinds is the first kind of package load.
+	LoadKinds Kind = 0x700
 )
--- a/internal/peer/traffic.go
+++ b/internal/peer/traffic.go
@@ -7,7 +7,7 @@
 
 const (
 	kindBlock = 0x100 // kinds of one package
-	blocks    = int(ControlKinds/kindBlock) + 1
+	blocks    = int(LoadKinds/kindBlock) + 1
 
 	// datagramHeaders are those of IPv4 and UDP.
 	datagramHeaders = 28
@@ -27,7 +27,7 @@
 }
 
 // packageNames are those of the blocks of kinds.
-var packageNames = [blocks]string{"peer", "member", "gossip", "chain", "quota", "batch", "control"}
+var packageNames = [blocks]string{"peer", "member", "gossip", "chain", "quota", "batch", "control", "load"}
 
 // SentByPackage is what has been sent since the start, of those packages of which anything was.
 func (t *Transport) SentByPackage() []PackageTraffic {
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -9,6 +9,7 @@
 
 	"nickelline/internal/admission"
 	"nickelline/internal/configuration"
+	"nickelline/internal/discovery"
 	"nickelline/internal/fault"
 	"nickelline/internal/forward"
 	"nickelline/internal/upstream"
@@ -88,7 +89,7 @@
 		if err := e.mayTry(ctx); err != nil {
 			return nil, err
 		}
-		backend, ticket, refusal := e.proxy.options.Pick(e.service, time.Now(), e.admission)
+		backend, ticket, refusal := e.pick(ctx)
 		if refusal != nil {
 			return nil, e.refusal(refusal)
 		}
@@ -105,6 +106,19 @@
 	}
 }
 
+// pick chooses a backend by the newest figures, and lets others know.
+func (e *exchange) pick(ctx context.Context) (discovery.Backend, Ticket, *admission.Refusal) {
+	loads := e.proxy.options.Loads
+	if loads != nil {
+		loads.Refresh(ctx, e.service)
+	}
+	backend, ticket, refusal := e.proxy.options.Pick(e.service, time.Now(), e.admission)
+	if loads != nil && refusal == nil {
+		loads.Tell(e.service)
+	}
+	return backend, ticket, refusal
+}
+
 func (e *exchange) wasTried(id string) bool { return slices.Contains(e.tried, id) }
 
 // mayTry tells whether the request may be sent (again), and if not, what it is answered.
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -58,6 +58,14 @@
 	}
 }
 
+// Loads tells admission what all nodes have at the backends of a service. It is a *load.Service.
+type Loads interface {
+	// Refresh returns when the newest figures are known, or soon.
+	Refresh(ctx context.Context, service string)
+	// Tell has other nodes know of a request that has just been admitted.
+	Tell(service string)
+}
+
 // QuotaLimiter takes a request out of a tenant's budget. It is a *quota.Limiter.
 type QuotaLimiter interface {
 	Take(ctx context.Context, tenant *configuration.Tenant) error
@@ -76,7 +84,9 @@
 	// BackendsKnown tells whether there is a list of backends.
 	BackendsKnown func() bool
 	Pick          PickFunc
-	Sender        Sender
+	// Loads is asked what all nodes have at a service's backends; nil: nobody is.
+	Loads  Loads
+	Sender Sender
 	// Quota counts requests; nil: they are not counted.
 	Quota QuotaLimiter
 	// Batch takes the calls about batch jobs; nil: they are answered 503.
