--- a/cmd/nickelline/control.go
+++ b/cmd/nickelline/control.go
@@ -53,6 +53,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
 	n.start()
+	n.serveMetrics()
 	role.Start()
 	if err := n.readBackends(ctx); err != nil {
 		return err
--- /dev/null
+++ b/cmd/nickelline/metrics.go
@@ -0,0 +1,153 @@
+package main
+
+import (
+	"maps"
+	"slices"
+	"strconv"
+	"time"
+
+	"go.uber.org/zap"
+
+	"nickelline/internal/admission"
+	"nickelline/internal/metrics"
+	"nickelline/internal/nodestate"
+	"nickelline/internal/proxy"
+	"nickelline/internal/quota"
+	"nickelline/internal/store"
+)
+
+// serveMetrics serves the process's figures where the settings name an endpoint. Without one nothing is opened. A process
+// does its work without its figures, so a failure is logged and no more.
+func (n *node) serveMetrics(sources ...metrics.Source) {
+	if n.settings.Metrics == "" {
+		return
+	}
+	endpoint, err := metrics.ParseEndpoint(n.settings.Metrics)
+	if err != nil {
+		n.log.Error("metrics", zap.Error(err))
+		return
+	}
+	server, err := metrics.Listen(n.settings.IP, endpoint)
+	if err != nil {
+		n.log.Error("metrics", zap.Error(err))
+		return
+	}
+	server.Add(n.writeFigures)
+	for _, source := range sources {
+		server.Add(source)
+	}
+	go func() {
+		if err := server.Serve(); err != nil {
+			n.log.Error("metrics", zap.Error(err))
+		}
+	}()
+}
+
+// writeFigures writes what all roles have in common.
+func (n *node) writeFigures(w *metrics.Writer) {
+	table := n.members.Table()
+	w.Gauge("nickelline_members_alive", float64(len(table.Alive())))
+	for _, sent := range n.transport.SentByPackage() {
+		name := metrics.Label{Name: "package", Value: sent.Package}
+		w.Counter("nickelline_sent_bytes_total", sent.Near, name, metrics.Label{Name: "to", Value: "zone"})
+		w.Counter("nickelline_sent_bytes_total", sent.Far, name, metrics.Label{Name: "to", Value: "other zones"})
+	}
+}
+
+// poolFigures writes the figures of the admission pools.
+func poolFigures(state *nodestate.State) metrics.Source {
+	return func(w *metrics.Writer) {
+		pools := state.Pools()
+		for _, service := range slices.Sorted(maps.Keys(pools)) {
+			writePool(w, metrics.Label{Name: "service", Value: service}, pools[service].Stats(time.Now()))
+		}
+	}
+}
+
+func writePool(w *metrics.Writer, service metrics.Label, stats admission.Stats) {
+	w.Gauge("nickelline_backends", float64(stats.Backends), service)
+	w.Gauge("nickelline_backends_ejected", float64(stats.Ejected), service)
+	w.Gauge("nickelline_in_flight", float64(stats.InFlight), service, metrics.Label{Name: "of", Value: "this node"})
+	w.Gauge("nickelline_in_flight", stats.Others, service, metrics.Label{Name: "of", Value: "others"})
+	w.Gauge("nickelline_first_part_smoothed_seconds", stats.Latency.Seconds(), service)
+	w.Gauge("nickelline_first_part_uncrowded_seconds", stats.Uncrowded.Seconds(), service)
+	w.Gauge("nickelline_live_slots_part", stats.LivePart, service)
+	w.Gauge("nickelline_loads_shared", figureOf(stats.Shared), service)
+	for i := range stats.Classes {
+		writeClass(w, service, &stats.Classes[i])
+	}
+}
+
+func writeClass(w *metrics.Writer, service metrics.Label, stats *admission.ClassStats) {
+	class := metrics.Label{Name: "class", Value: string(stats.Class)}
+	writeCounts(w, "nickelline_picks_total", "band", stats.Picks, service, class)
+	writeCounts(w, "nickelline_refusals_total", "reason", stats.Refusals, service, class)
+	writeCounts(w, "nickelline_attempts_total", "outcome", stats.Outcomes, service, class)
+	w.Gauge("nickelline_drop_fraction", stats.Dropped, service, class)
+	for _, mode := range slices.Sorted(maps.Keys(stats.Modes)) {
+		w.Gauge("nickelline_backends_by_mode", float64(stats.Modes[mode]), service, class, metrics.Label{Name: "mode", Value: mode})
+	}
+	writeFirstParts(w, &stats.FirstParts, service, class)
+}
+
+func writeCounts(w *metrics.Writer, name, label string, counts map[string]uint64, labels ...metrics.Label) {
+	for _, value := range slices.Sorted(maps.Keys(counts)) {
+		w.Counter(name, counts[value], append(slices.Clone(labels), metrics.Label{Name: label, Value: value})...)
+	}
+}
+
+// writeFirstParts writes a histogram: each bucket counts what is at or below its bound.
+func writeFirstParts(w *metrics.Writer, times *admission.FirstParts, labels ...metrics.Label) {
+	const name = "nickelline_first_part_seconds"
+	total := uint64(0)
+	for i, count := range times.Counts {
+		total += count
+		bound := "+Inf"
+		if i < len(times.Bounds) {
+			bound = strconv.FormatFloat(times.Bounds[i].Seconds(), 'g', -1, 64)
+		}
+		w.Counter(name+"_bucket", total, append(slices.Clone(labels), metrics.Label{Name: "le", Value: bound})...)
+	}
+	w.Gauge(name+"_sum", times.Sum.Seconds(), labels...)
+	w.Counter(name+"_count", total, labels...)
+}
+
+// proxyFigures writes the figures of a proxy and of its quota leases.
+func proxyFigures(p *proxy.Proxy, limiter *quota.Limiter) metrics.Source {
+	return func(w *metrics.Writer) {
+		stats := p.Stats()
+		w.Counter("nickelline_answers_passed_total", stats.Passed)
+		for _, kind := range slices.Sorted(maps.Keys(stats.Faults)) {
+			w.Counter("nickelline_answers_own_total", stats.Faults[kind], metrics.Label{Name: "kind", Value: kind.String()})
+		}
+		w.Counter("nickelline_sends_total", stats.Attempts)
+		w.Counter("nickelline_retries_total", stats.Retries)
+		leases := limiter.Stats(time.Now())
+		w.Gauge("nickelline_quota_leases", float64(leases.Leases))
+		w.Gauge("nickelline_quota_leased_per_second", leases.Rate)
+		w.Gauge("nickelline_quota_waiting", float64(leases.Waiting))
+	}
+}
+
+// storeFigures writes the figures of the batch items that a store runs.
+func storeFigures(role *store.Service) metrics.Source {
+	return func(w *metrics.Writer) {
+		stats := role.Stats()
+		w.Gauge("nickelline_partitions", float64(stats.Partitions))
+		w.Gauge("nickelline_partitions_headed", float64(stats.Heads))
+		for _, route := range slices.Sorted(maps.Keys(stats.Routes)) {
+			items, label := stats.Routes[route], metrics.Label{Name: "route", Value: route}
+			w.Gauge("nickelline_batch_items_waiting", float64(items.Waiting), label)
+			w.Gauge("nickelline_batch_items_late", float64(items.Late), label)
+			w.Gauge("nickelline_batch_items_running", float64(items.Running), label)
+		}
+	}
+}
+
+// figureOf gives 1 for true.
+func figureOf(is bool) float64 {
+	if is {
+		return 1
+	}
+	return 0
+}
--- a/cmd/nickelline/proxy.go
+++ b/cmd/nickelline/proxy.go
@@ -9,7 +9,7 @@
 	"go.uber.org/zap"
 
 	"nickelline/internal/forward"
-	"nickelline/internal/lots"
+	"nickelline/internal/batchapi"
 	"nickelline/internal/nodestate"
 	"nickelline/internal/proxy"
 	"nickelline/internal/quota"
@@ -60,7 +60,7 @@
 		Loads:         n.loads,
 		Sender:        sender,
 		Quota:         limiter,
-		Batch:         newLots(n, state),
+		Batch:         newBatchClient(n, state),
 		Grace:         settings.Seconds(p.settings.Bounds.GracePeriodS),
 		Connections:   int(clientDescriptors * float64(p.settings.Limits.FileDescriptors)),
 		Log:           p.log,
@@ -68,6 +68,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
 	n.start()
+	n.serveMetrics(poolFigures(state), proxyFigures(serving, limiter))
 	go sender.Run(ctx)
 	go n.loads.Run(ctx)
 	renewing := runLimiter(ctx, limiter)
@@ -129,8 +130,8 @@
 	return settings.Milliseconds(s.Bounds.RevocationMs * (1 - proofMargin))
 }
 
-func newLots(n *node, state *nodestate.State) *lots.Client {
-	return lots.New(lots.Options{
+func newBatchClient(n *node, state *nodestate.State) *batchapi.Client {
+	return batchapi.New(batchapi.Options{
 		Caller:         n.transport,
 		Locate:         state.Partition,
 		Zone:           n.settings.Zone,
--- a/cmd/nickelline/store.go
+++ b/cmd/nickelline/store.go
@@ -75,6 +75,7 @@
 	defer stop()
 	state.OnPlacement(role.SetPlacement)
 	n.start()
+	n.serveMetrics(poolFigures(state), storeFigures(role))
 	go sender.Run(ctx)
 	go n.loads.Run(ctx)
 	go role.Run(ctx)
--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -2,11 +2,11 @@
 //
 // It is the hysteretic overload control of the design: each backend is normal, overloaded or blocking by its count of
 // requests and three thresholds; requests go to the better of two random normal backends; when there is none, a part
-// of the requests is shed, lot work first; blocking backends get nothing. A Pool reads no clock and does no I/O: the
+// of the requests is shed, batch work first; blocking backends get nothing. A Pool reads no clock and does no I/O: the
 // caller hands in the time.
 //
 // A backend's count is what this node has there plus what the backend last told of the others' requests. Thresholds
-// follow from its slots, and come down where answers take long in spite of free slots. Lot work has thresholds of its
+// follow from its slots, and come down where answers take long in spite of free slots. Batch work has thresholds of its
 // own, below those of live requests, as most nodes see only one of the two kinds.
 package admission
 
@@ -17,9 +17,9 @@
 
 // Request is what admission has to know of a request.
 type Request struct {
-	// Lot marks batch work, which is shed first.
-	Lot bool
-	// Urgent lot work may go to another zone while the own one's backends still read the prompts of others.
+	// Batch marks batch work, which is shed first.
+	Batch bool
+	// Urgent batch work may go to another zone while the own one's backends still read the prompts of others.
 	Urgent bool
 	// Priority is the request's rank; 0 is the most urgent.
 	Priority int
@@ -54,18 +54,18 @@
 	RetryAfter time.Duration
 }
 
-// class tells live requests, which have precedence, from lot work.
+// class tells live requests, which have precedence, from batch work.
 type class int
 
 const (
 	live class = iota
-	lot
+	batch
 	classes
 )
 
 func classOf(r *Request) class {
-	if r.Lot {
-		return lot
+	if r.Batch {
+		return batch
 	}
 	return live
 }
--- a/internal/admission/pool.go
+++ b/internal/admission/pool.go
@@ -56,6 +56,7 @@
 	livePart   float64 // of the slots that live requests of all nodes take
 	livePartAt time.Time
 
+	counts [classes]classCounts
 	buffer [bands][]candidate
 }
 
@@ -140,15 +141,19 @@
 		survey = p.survey(now, &r, c, true)
 	}
 	if survey.normal == 0 && p.mustShed(c, &survey) {
+		p.counts[c].refusals[shedByFraction]++
 		return nil, p.refusal(survey.backlog())
 	}
 	if survey.awaited && !r.Urgent && len(p.buffer[normalNear])+len(p.buffer[overloadedNear]) == 0 {
-		return nil, p.refusal(0) // lot work waits rather than pay for bytes between zones
+		p.counts[c].refusals[waitForZone]++
+		return nil, p.refusal(0) // batch work waits rather than pay for bytes between zones
 	}
 	chosen := p.choose(now, &r, survey.normal > 0)
 	if chosen == nil {
+		p.counts[c].refusals[allBlocked]++
 		return nil, p.refusal(survey.backlog())
 	}
+	p.counts[c].pickedFrom(survey.normal > 0, chosen.near)
 	return p.ticket(now, &r, chosen), nil
 }
 
@@ -158,7 +163,7 @@
 	normal int     // of those in normal mode
 	depth  float64 // of those, how far they are between H and R, summed
 	excess float64 // counts over H, as multiples of H, summed
-	// awaited is set where a backend of the own zone is blocked for lot work only until it has answered.
+	// awaited is set where a backend of the own zone is blocked for batch work only until it has answered.
 	awaited bool
 	roomy   bool // a backend has room by its slots, and nothing waiting
 }
@@ -196,8 +201,8 @@
 	n := s.weight + others
 	latency := s.latencyNow(now, p)
 	t := p.thresholdsOf(now, s, c, n, latency)
-	if c == lot && p.isShared(now) {
-		n = s.lotCount(p)
+	if c == batch && p.isShared(now) {
+		n = s.batchCount(p)
 	}
 	mode := s.mode(now, c, t, n)
 	found.usable++
@@ -206,7 +211,7 @@
 		found.depth++
 		return
 	}
-	if c == lot && s.prompts(now, p) >= p.lotPrompts(latency) {
+	if c == batch && s.prompts(now, p) >= p.batchPrompts(latency) {
 		found.awaited = found.awaited || s.near
 		return
 	}
--- a/internal/admission/pool_test.go
+++ b/internal/admission/pool_test.go
@@ -115,7 +115,7 @@
 	full.reported(at(0), 0, &Load{Running: 6, Waiting: 24, Slots: 6})
 	p.reported(at(0), full)
 	for i := range 500 {
-		ticket := mustPick(t, p, at(0), Request{Lot: i%2 == 0})
+		ticket := mustPick(t, p, at(0), Request{Batch: i%2 == 0})
 		if ticket.server == full {
 			t.Fatal("sent to a blocking backend")
 		}
@@ -193,14 +193,14 @@
 	}
 }
 
-func TestLotWorkIsShedFirst(t *testing.T) {
+func TestBatchWorkIsShedFirst(t *testing.T) {
 	p := newTestPool(backendsOf(6, 16, "a"))
 	tellIdle(t, p, at(0), 20*time.Millisecond)
 	refused, sent := [classes]int{}, [classes]int{}
 	for i := range 4000 {
 		now := at(time.Duration(i) * time.Millisecond)
 		overloadAll(p, now, Load{Running: 16, Waiting: 8, Slots: 16})
-		r := Request{Lot: i%2 == 0}
+		r := Request{Batch: i%2 == 0}
 		ticket, _ := p.Pick(now, r)
 		if ticket == nil {
 			refused[classOf(&r)]++
@@ -209,8 +209,8 @@
 		sent[classOf(&r)]++
 		ticket.Done(now, Cancelled, nil)
 	}
-	if refused[lot] < sent[lot] {
-		t.Errorf("lot work: %d refused, %d sent", refused[lot], sent[lot])
+	if refused[batch] < sent[batch] {
+		t.Errorf("batch work: %d refused, %d sent", refused[batch], sent[batch])
 	}
 	if refused[live] > sent[live]/10 {
 		t.Errorf("live requests: %d refused, %d sent", refused[live], sent[live])
@@ -241,16 +241,16 @@
 	p := newTestPool(nil)
 	s := &p.shed
 	s.periodEnd = at(0)
-	s.arrivals = [classes]float64{live: 30, lot: 10}
+	s.arrivals = [classes]float64{live: 30, batch: 10}
 	s.depth[live].add(0.5)
 	p.recompute(at(0))
 	q1, q2 := decide.ShedSplit(0.5, 30, 10)
-	if s.parts[live] != q1 || s.parts[lot] != q2 {
-		t.Errorf("q1=%v q2=%v, want %v %v", s.parts[live], s.parts[lot], q1, q2)
+	if s.parts[live] != q1 || s.parts[batch] != q2 {
+		t.Errorf("q1=%v q2=%v, want %v %v", s.parts[live], s.parts[batch], q1, q2)
 	}
 	s.depth[live].add(1)
 	p.recompute(at(modeValidity + recomputePeriod + time.Millisecond))
-	if s.parts[live] != 0 || s.parts[lot] != 0 {
+	if s.parts[live] != 0 || s.parts[batch] != 0 {
 		t.Errorf("old overload still sheds: %v", s.parts)
 	}
 }
@@ -371,62 +371,62 @@
 	}
 }
 
-func TestLotWorkWaitsForItsZone(t *testing.T) {
+func TestBatchWorkWaitsForItsZone(t *testing.T) {
 	p := newTestPool(backendsOf(3, 96, "a", "b", "c"))
 	tellIdle(t, p, at(0), 20*time.Millisecond)
-	first := mustPick(t, p, at(0), Request{Lot: true})
+	first := mustPick(t, p, at(0), Request{Batch: true})
 	if !first.server.near {
 		t.Fatal("another zone with an idle backend in the own one")
 	}
 	for range promptsAtOnce - 1 {
-		mustPick(t, p, at(0), Request{Lot: true})
+		mustPick(t, p, at(0), Request{Batch: true})
 	}
-	if ticket, _ := p.Pick(at(0), Request{Lot: true}); ticket != nil {
-		t.Error("lot work did not wait for the backend of its zone")
+	if ticket, _ := p.Pick(at(0), Request{Batch: true}); ticket != nil {
+		t.Error("batch work did not wait for the backend of its zone")
 	}
 	near := first.server.backend.ID
-	mustPick(t, p, at(0), Request{Lot: true, Exclude: func(id string) bool { return id == near }})
+	mustPick(t, p, at(0), Request{Batch: true, Exclude: func(id string) bool { return id == near }})
 }
 
-// promptsAtOnce is how many requests of lot work an uncrowded backend gets before any of them is answered.
-var promptsAtOnce = int(math.Ceil(lotPrompts))
+// promptsAtOnce is how many requests of batch work an uncrowded backend gets before any of them is answered.
+var promptsAtOnce = int(math.Ceil(batchPrompts))
 
-func TestUrgentLotWorkGoesToAnotherZone(t *testing.T) {
+func TestUrgentBatchWorkGoesToAnotherZone(t *testing.T) {
 	p := newTestPool(backendsOf(2, 96, "a", "b"))
 	tellIdle(t, p, at(0), 20*time.Millisecond)
 	for range promptsAtOnce {
-		mustPick(t, p, at(0), Request{Lot: true})
+		mustPick(t, p, at(0), Request{Batch: true})
 	}
-	if ticket, _ := p.Pick(at(0), Request{Lot: true}); ticket != nil {
-		t.Fatal("lot work that can wait goes to another zone")
+	if ticket, _ := p.Pick(at(0), Request{Batch: true}); ticket != nil {
+		t.Fatal("batch work that can wait goes to another zone")
 	}
-	if ticket := mustPick(t, p, at(0), Request{Lot: true, Urgent: true}); ticket.Backend.Zone != "b" {
-		t.Errorf("urgent lot work goes to zone %s", ticket.Backend.Zone)
+	if ticket := mustPick(t, p, at(0), Request{Batch: true, Urgent: true}); ticket.Backend.Zone != "b" {
+		t.Errorf("urgent batch work goes to zone %s", ticket.Backend.Zone)
 	}
 }
 
 // A store sees few of the prompts that wait at a backend: those of the proxies' live requests, which its own would hold up, are
 // in the backend's reports.
-func TestLotWorkWaitsForPromptsOfOtherNodes(t *testing.T) {
+func TestBatchWorkWaitsForPromptsOfOtherNodes(t *testing.T) {
 	p := newTestPool(backendsOf(1, 96, "a"))
 	tellIdle(t, p, at(0), 20*time.Millisecond)
 	ticket := mustPick(t, p, at(0), Request{})
 	ticket.Done(at(20*time.Millisecond), OK, &Load{Running: 4, Waiting: promptsAtOnce + 1, Slots: 96})
 	now := at(21 * time.Millisecond)
-	if ticket, _ := p.Pick(now, Request{Lot: true}); ticket != nil {
-		t.Error("lot work is sent to a backend at which prompts of other nodes wait")
+	if ticket, _ := p.Pick(now, Request{Batch: true}); ticket != nil {
+		t.Error("batch work is sent to a backend at which prompts of other nodes wait")
 	}
 	mustPick(t, p, now, Request{}).Done(now, Cancelled, nil)
-	mustPick(t, p, at(20*time.Millisecond+reportMemory), Request{Lot: true}) // the report is too old
+	mustPick(t, p, at(20*time.Millisecond+reportMemory), Request{Batch: true}) // the report is too old
 }
 
 func TestStartDoesNotBlockForEver(t *testing.T) {
 	p := newTestPool(backendsOf(3, 96, "a"))
-	_, _ = p.Pick(at(0), Request{Lot: true})
-	mustPick(t, p, at(startMemory), Request{Lot: true})
+	_, _ = p.Pick(at(0), Request{Batch: true})
+	mustPick(t, p, at(startMemory), Request{Batch: true})
 }
 
-func TestLotWorkSendsFewPromptsAtATime(t *testing.T) {
+func TestBatchWorkSendsFewPromptsAtATime(t *testing.T) {
 	for _, c := range []struct {
 		latency time.Duration
 		want    int
@@ -436,14 +436,14 @@
 		p.servers[0].latency = c.latency.Seconds()
 		var sent []*Ticket
 		for range c.want {
-			sent = append(sent, mustPick(t, p, at(0), Request{Lot: true}))
+			sent = append(sent, mustPick(t, p, at(0), Request{Batch: true}))
 		}
-		if ticket, _ := p.Pick(at(0), Request{Lot: true}); ticket != nil {
-			t.Errorf("more than %d prompts of lot work at a latency of %v", c.want, c.latency)
+		if ticket, _ := p.Pick(at(0), Request{Batch: true}); ticket != nil {
+			t.Errorf("more than %d prompts of batch work at a latency of %v", c.want, c.latency)
 		}
 		mustPick(t, p, at(0), Request{}).Done(at(0), Cancelled, nil) // live requests go on
 		sent[0].Started(at(time.Millisecond))
-		mustPick(t, p, at(time.Millisecond), Request{Lot: true})
+		mustPick(t, p, at(time.Millisecond), Request{Batch: true})
 	}
 }
 
--- a/internal/admission/server.go
+++ b/internal/admission/server.go
@@ -31,7 +31,7 @@
 	coldEnd time.Time
 
 	inFlight int     // of this node
-	batch    int     // of those, lot work
+	batch    int     // of those, batch work
 	weight   float64 // of those, by their sizes
 
 	modes        [classes]decide.Mode
@@ -174,7 +174,7 @@
 
 // sent counts a request that goes to the backend.
 func (s *server) sent(now time.Time, c class, weight float64) {
-	if c == lot {
+	if c == batch {
 		s.batch++
 	}
 	if s.unanswered == 0 {
@@ -188,7 +188,7 @@
 
 // gone counts a request that has left the backend.
 func (s *server) gone(c class, weight float64) {
-	if c == lot {
+	if c == batch {
 		s.batch--
 	}
 	s.inFlight--
--- a/internal/admission/shared.go
+++ b/internal/admission/shared.go
@@ -102,7 +102,7 @@
 }
 
 // follow renews what part of the slots live requests take: it rises at once with them, and falls within the time for which
-// lot work stays at a backend, as a slot given to it is away for so long.
+// batch work stays at a backend, as a slot given to it is away for so long.
 func (p *Pool) follow(now time.Time) {
 	requests, slots := 0.0, 0.0
 	for _, s := range p.servers {
@@ -118,9 +118,9 @@
 	p.livePartAt = now
 }
 
-// lotCount is the count that lot work is judged by: lot work at the backend beside the live requests that are there, or
+// batchCount is the count that batch work is judged by: batch work at the backend beside the live requests that are there, or
 // are to be expected.
-func (s *server) lotCount(p *Pool) float64 {
+func (s *server) batchCount(p *Pool) float64 {
 	expected := p.livePart * s.slots
 	return float64(s.batch) + s.shared.batch + max(s.liveAt(), expected)
 }
--- a/internal/admission/shed.go
+++ b/internal/admission/shed.go
@@ -46,8 +46,8 @@
 
 func (p *Pool) recompute(now time.Time) {
 	s := &p.shed
-	n1, n2 := s.arrivals[live], s.arrivals[lot]
-	s.parts[live], s.parts[lot] = decide.ShedSplit(s.overall(now), n1, n2)
+	n1, n2 := s.arrivals[live], s.arrivals[batch]
+	s.parts[live], s.parts[batch] = decide.ShedSplit(s.overall(now), n1, n2)
 	periods := 1 + int(now.Sub(s.periodEnd)/recomputePeriod)
 	for c := range s.arrivals {
 		s.arrivals[c] *= memoryOver(periods)
@@ -62,13 +62,13 @@
 		return 0
 	}
 	q := s.depth[live].mean()
-	if s.arrivals[live] < fewArrivals*s.arrivals[lot] {
-		q = max(q, s.depth[lot].mean())
+	if s.arrivals[live] < fewArrivals*s.arrivals[batch] {
+		q = max(q, s.depth[batch].mean())
 	}
 	return q
 }
 
-// fewArrivals is the part of live requests below which a node's requests are lot work, whose own thresholds make q.
+// fewArrivals is the part of live requests below which a node's requests are batch work, whose own thresholds make q.
 const fewArrivals = 0.01
 
 // memoryOver is the part of a count that is left after some periods.
--- a/internal/admission/simulation_test.go
+++ b/internal/admission/simulation_test.go
@@ -93,7 +93,7 @@
 func (s *simulation) request(p *Pool, c class) {
 	r := &s.results[c]
 	r.sent++
-	ticket, _ := p.Pick(s.now, Request{Lot: c == lot})
+	ticket, _ := p.Pick(s.now, Request{Batch: c == batch})
 	if ticket == nil {
 		r.refused++
 		return
@@ -181,14 +181,14 @@
 	for seed := range uint64(3) {
 		s := newSimulation(seed, 10, 9, 16, 40*time.Millisecond)
 		s.arrivals(live, 0.8*s.capacity(), 0, 10*time.Second)
-		s.arrivals(lot, 0.8*s.capacity(), 0, 10*time.Second)
+		s.arrivals(batch, 0.8*s.capacity(), 0, 10*time.Second)
 		s.run(20 * time.Second)
-		first, other := s.results[live], s.results[lot]
+		first, other := s.results[live], s.results[batch]
 		if first.refused+first.failed > first.sent/20 {
 			t.Errorf("seed %d: live requests %+v with 0.8 of the capacity for them", seed, first)
 		}
 		if other.refused < other.sent/2 {
-			t.Errorf("seed %d: lot work %+v with 0.2 of the capacity left", seed, other)
+			t.Errorf("seed %d: batch work %+v with 0.2 of the capacity left", seed, other)
 		}
 		if done := float64(first.served+other.served) / 10; done < 0.7*s.capacity() {
 			t.Errorf("seed %d: %.0f served a second of %.0f", seed, done, s.capacity())
--- /dev/null
+++ b/internal/admission/stats.go
@@ -0,0 +1,169 @@
+package admission
+
+import (
+	"time"
+
+	"nickelline/decide"
+)
+
+// Class is a name of a class of requests in figures.
+type Class string
+
+// The classes of requests in figures.
+const (
+	ClassLive  Class = "live"
+	ClassBatch Class = "batch"
+)
+
+// classNames are the names of the classes, in their order.
+var classNames = [classes]Class{live: ClassLive, batch: ClassBatch}
+
+// refusalReason is why a request was refused.
+type refusalReason int
+
+const (
+	shedByFraction refusalReason = iota // by q1 or q2, as no backend was normal
+	waitForZone                         // batch work that rather waits for its zone
+	allBlocked                          // no backend may take it
+	refusalReasons
+)
+
+var (
+	refusalNames = [refusalReasons]string{"shed", "zone", "blocked"}
+	bandNames    = [bands]string{"normal near", "normal far", "overloaded near", "overloaded far"}
+	outcomeNames = [...]string{OK: "ok", Full: "full", Failed: "failed", TimedOut: "timed out", Cancelled: "cancelled"}
+	modeNames    = [...]string{decide.Normal: "normal", decide.Overloaded: "overloaded", decide.Blocking: "blocking"}
+)
+
+// firstPartBounds are the upper bounds of the classes of times to the first part of an answer.
+var firstPartBounds = [...]time.Duration{
+	25 * time.Millisecond, 50 * time.Millisecond, 100 * time.Millisecond, 200 * time.Millisecond, 400 * time.Millisecond,
+	800 * time.Millisecond, 1600 * time.Millisecond,
+}
+
+// classCounts are counts of one class since the start.
+type classCounts struct {
+	picks    [bands]uint64
+	refusals [refusalReasons]uint64
+	outcomes [len(outcomeNames)]uint64
+	// firstParts counts the times to the first part of an answer, the last one those over all bounds.
+	firstParts   [len(firstPartBounds) + 1]uint64
+	firstPartSum time.Duration
+}
+
+// pickedFrom counts a pick by the band of the chosen backend.
+func (c *classCounts) pickedFrom(normal, near bool) {
+	b := overloadedFar
+	if normal {
+		b = normalFar
+	}
+	if near {
+		b--
+	}
+	c.picks[b]++
+}
+
+// started counts the time to the first part of an answer.
+func (c *classCounts) started(took time.Duration) {
+	c.firstPartSum += took
+	for i, bound := range firstPartBounds {
+		if took <= bound {
+			c.firstParts[i]++
+			return
+		}
+	}
+	c.firstParts[len(firstPartBounds)]++
+}
+
+// FirstParts is a histogram of the times to the first part of an answer.
+type FirstParts struct {
+	// Bounds are the upper bounds; Counts has one number more, for the times over all of them.
+	Bounds []time.Duration
+	Counts []uint64
+	Sum    time.Duration
+}
+
+// ClassStats are the figures of one class of requests since the start, but for those that are of now.
+type ClassStats struct {
+	Class    Class
+	Picks    map[string]uint64 // by mode and place of the backend
+	Refusals map[string]uint64 // by reason
+	Outcomes map[string]uint64 // of attempts
+	// FirstParts are the times to the first part of an answer.
+	FirstParts FirstParts
+	// Dropped is the part of requests that is dropped now where no backend is normal: q1 of live requests, q2 of batch work.
+	Dropped float64
+	// Modes counts the backends by their mode for the class now.
+	Modes map[string]int
+}
+
+// Stats are the figures of a pool.
+type Stats struct {
+	Classes []ClassStats
+	// Backends in use, and of those the ones that are ejected.
+	Backends, Ejected int
+	// InFlight is what this node has at the backends, Others what other nodes are taken to have.
+	InFlight int
+	Others   float64
+	// Latency is the smoothed time to the first part of an answer, Uncrowded what it is without load.
+	Latency, Uncrowded time.Duration
+	// LivePart is the part of the slots that live requests of all nodes take, or have lately taken.
+	LivePart float64
+	// Shared tells whether it is known what all nodes have.
+	Shared bool
+}
+
+// Stats gives the pool's figures.
+func (p *Pool) Stats(now time.Time) Stats {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	stats := Stats{
+		Backends:  len(p.servers),
+		Latency:   seconds(p.latency),
+		Uncrowded: seconds(p.least),
+		LivePart:  p.livePart,
+		Shared:    p.isShared(now),
+	}
+	for _, s := range p.servers {
+		stats.InFlight += s.inFlight
+		stats.Others += s.othersNow(now, p)
+		if s.failures.ejected {
+			stats.Ejected++
+		}
+	}
+	for c := range p.counts {
+		stats.Classes = append(stats.Classes, p.classStats(class(c)))
+	}
+	return stats
+}
+
+func (p *Pool) classStats(c class) ClassStats {
+	counts := &p.counts[c]
+	stats := ClassStats{
+		Class:    classNames[c],
+		Picks:    byName(bandNames[:], counts.picks[:]),
+		Refusals: byName(refusalNames[:], counts.refusals[:]),
+		Outcomes: byName(outcomeNames[:], counts.outcomes[:]),
+		FirstParts: FirstParts{
+			Bounds: firstPartBounds[:],
+			Counts: append([]uint64(nil), counts.firstParts[:]...),
+			Sum:    counts.firstPartSum,
+		},
+		Dropped: p.shed.parts[c],
+		Modes:   map[string]int{},
+	}
+	for _, s := range p.servers {
+		stats.Modes[modeNames[s.modes[c]]]++
+	}
+	return stats
+}
+
+func byName(names []string, counts []uint64) map[string]uint64 {
+	named := make(map[string]uint64, len(names))
+	for i, name := range names {
+		named[name] = counts[i]
+	}
+	return named
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- a/internal/admission/ticket.go
+++ b/internal/admission/ticket.go
@@ -58,6 +58,7 @@
 	t.startedAt = now
 	t.inFlight = t.server.inFlight
 	took := now.Sub(t.sentAt)
+	t.pool.counts[t.class].started(took)
 	t.server.answered(now, took, t.weight)
 	if t.server.failures.silent {
 		t.server.failures.restore()
@@ -103,6 +104,7 @@
 		t.report(now, s.inFlight, load)
 	}
 	t.done = true
+	p.counts[t.class].outcomes[outcome]++
 	if !t.started {
 		s.settled(t.weight)
 	}
--- a/internal/lots/heads.go
+++ b/internal/batchapi/heads.go
@@ -1,4 +1,4 @@
-package lots
+package batchapi
 
 import (
 	"net/netip"
--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -52,6 +52,44 @@
 	kinds
 )
 
+// kindNames are the names of the kinds in figures.
+var kindNames = [kinds]string{
+	Internal:             "internal",
+	BadRequest:           "bad request",
+	InvalidConfiguration: "invalid configuration",
+	Unauthorized:         "unauthorized",
+	RouteNotFound:        "route not found",
+	NotFound:             "not found",
+	BodyTooLarge:         "body too large",
+	HeaderTooLarge:       "header too large",
+	RequestTimeout:       "request timeout",
+	QuotaExceeded:        "quota exceeded",
+	Overloaded:           "overloaded",
+	NotReady:             "not ready",
+	VersionConflict:      "version conflict",
+	Conflict:             "conflict",
+	UpstreamFailed:       "upstream failed",
+	UpstreamTimeout:      "upstream timeout",
+	Unclear:              "unclear",
+}
+
+// String gives the kind's name in figures.
+func (k Kind) String() string {
+	if k >= kinds {
+		return kindNames[Internal]
+	}
+	return kindNames[k]
+}
+
+// Kinds gives all kinds.
+func Kinds() []Kind {
+	all := make([]Kind, kinds)
+	for i := range all {
+		all[i] = Kind(i)
+	}
+	return all
+}
+
 // Answer is what a caller is told about an error of a kind.
 type Answer struct {
 	Status int
--- a/internal/nodestate/nodestate.go
+++ b/internal/nodestate/nodestate.go
@@ -6,6 +6,7 @@
 package nodestate
 
 import (
+	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -122,6 +123,13 @@
 	return pool
 }
 
+// Pools gives the admission pools of all services that have been asked for.
+func (s *State) Pools() map[string]*admission.Pool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return maps.Clone(s.pools)
+}
+
 func (s *State) takeConfiguration(v gossip.Value) {
 	document, err := configuration.Parse(v.Data)
 	if err != nil {
--- a/internal/proxy/answer.go
+++ b/internal/proxy/answer.go
@@ -34,6 +34,7 @@
 type answerWriter struct {
 	conn     *clientConn
 	draining *atomic.Bool
+	faulted  func(fault.Kind) // nil: errors are not counted
 	id       string
 	// bodiless answers have no body: those to HEAD.
 	bodiless bool
@@ -69,7 +70,11 @@
 
 // fault writes the answer to an error.
 func (w *answerWriter) fault(err error) {
-	answer := fault.AnswerOf(fault.KindOf(err))
+	kind := fault.KindOf(err)
+	if w.faulted != nil {
+		w.faulted(kind)
+	}
+	answer := fault.AnswerOf(kind)
 	header := http.Header{"Content-Type": {"text/plain; charset=utf-8"}}
 	if answer.Status == http.StatusTooManyRequests || answer.Status == http.StatusServiceUnavailable {
 		header["Retry-After"] = []string{formatRetryAfter(retryAfterOf(err))}
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -93,6 +93,7 @@
 		if refusal != nil {
 			return nil, e.refusal(refusal)
 		}
+		e.proxy.counters.tried(len(e.tried))
 		e.tried = append(e.tried, backend.ID)
 		response, failure := e.proxy.options.Sender.Do(ctx, backend, &e.request)
 		if failure == nil {
@@ -229,6 +230,7 @@
 		return false
 	}
 	a.done(admission.OK)
+	e.proxy.counters.passed.Add(1)
 	w.whole(answer.status, answer.header, answer.body)
 	return true
 }
--- a/internal/proxy/exchange_test.go
+++ b/internal/proxy/exchange_test.go
@@ -108,7 +108,7 @@
 		t.Errorf("loads %v, want %v", s.loads, loads)
 	}
 	asked := s.asked[0]
-	if asked.Tokens != 1540 || asked.Priority != 0 || asked.Lot || asked.Prefix != nil {
+	if asked.Tokens != 1540 || asked.Priority != 0 || asked.Batch || asked.Prefix != nil {
 		t.Errorf("asked for %+v", asked)
 	}
 }
--- a/internal/proxy/ingress.go
+++ b/internal/proxy/ingress.go
@@ -61,6 +61,8 @@
 	bound    int
 	limits   func() configuration.Limits
 	draining *atomic.Bool
+	// faulted, if set, is called with the kind of each error that is answered.
+	faulted  func(fault.Kind)
 	contexts sync.Pool
 	log      *zap.Logger
 	// finishing: connections are closed behind the request that is open on them.
@@ -251,7 +253,7 @@
 // ServeHTTP takes a request that hertz has read, and answers it.
 func (i *ingress) ServeHTTP(ctx context.Context, c *app.RequestContext) {
 	conn := connOf(ctx)
-	w := &answerWriter{conn: conn, draining: i.draining}
+	w := &answerWriter{conn: conn, draining: i.draining, faulted: i.faulted}
 	c.Response.HijackWriter(w)
 	defer func() {
 		if cause := recover(); cause != nil {
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -25,6 +25,7 @@
 	"nickelline/internal/admission"
 	"nickelline/internal/configuration"
 	"nickelline/internal/discovery"
+	"nickelline/internal/fault"
 	"nickelline/internal/forward"
 )
 
@@ -104,14 +105,16 @@
 	clients   *ingress
 	readiness *ingress
 	draining  atomic.Bool
+	counters  *counters
 	// notice is how long a drain goes on serving what arrives.
 	notice time.Duration
 }
 
 // New makes a proxy that serves clients and the platform's question whether it is ready at two listeners.
 func New(clients, readiness *net.TCPListener, o Options) *Proxy {
-	p := &Proxy{options: o, notice: drainNotice}
+	p := &Proxy{options: o, notice: drainNotice, counters: newCounters()}
 	p.clients = newIngress(clients, p.serve, o.Connections, p.limits, &p.draining, o.Log)
+	p.clients.faulted = func(kind fault.Kind) { p.counters.faults[kind].Add(1) }
 	p.readiness = newIngress(readiness, p.answerReadiness, readinessConnections, p.limits, &p.draining, o.Log)
 	return p
 }
--- a/internal/proxy/relay.go
+++ b/internal/proxy/relay.go
@@ -32,6 +32,7 @@
 		case err == io.EOF:
 			e.ran++
 			a.done(admission.OK)
+			e.proxy.counters.passed.Add(1)
 			w.endStream(events)
 			return true
 		case len(events) > 0:
--- /dev/null
+++ b/internal/proxy/stats.go
@@ -0,0 +1,55 @@
+package proxy
+
+import (
+	"sync/atomic"
+
+	"nickelline/internal/fault"
+)
+
+// counters counts what became of clients' requests since the start.
+type counters struct {
+	faults   map[fault.Kind]*atomic.Uint64 // own answers, by kind; the map does not change
+	passed   atomic.Uint64
+	attempts atomic.Uint64
+	retries  atomic.Uint64
+}
+
+func newCounters() *counters {
+	c := &counters{faults: map[fault.Kind]*atomic.Uint64{}}
+	for _, kind := range fault.Kinds() {
+		c.faults[kind] = new(atomic.Uint64)
+	}
+	return c
+}
+
+// tried counts an attempt, the number of the request's attempts before it being given.
+func (c *counters) tried(before int) {
+	c.attempts.Add(1)
+	if before > 0 {
+		c.retries.Add(1)
+	}
+}
+
+// Stats are the figures of a proxy since its start.
+type Stats struct {
+	// Faults counts the proxy's own answers to requests, by kind.
+	Faults map[fault.Kind]uint64
+	// Passed counts answers of backends that were passed on.
+	Passed uint64
+	// Attempts counts sends to backends, Retries those of them that were not the first for their request.
+	Attempts, Retries uint64
+}
+
+// Stats gives the proxy's figures.
+func (p *Proxy) Stats() Stats {
+	stats := Stats{
+		Faults:   make(map[fault.Kind]uint64, len(p.counters.faults)),
+		Passed:   p.counters.passed.Load(),
+		Attempts: p.counters.attempts.Load(),
+		Retries:  p.counters.retries.Load(),
+	}
+	for kind, count := range p.counters.faults {
+		stats.Faults[kind] = count.Load()
+	}
+	return stats
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -11,6 +11,8 @@
 
 	"github.com/ansel1/merry/v2"
 	"github.com/pelletier/go-toml/v2"
+
+	"nickelline/internal/metrics"
 )
 
 // PathVariable is the environment variable that names the settings file.
@@ -54,6 +56,8 @@
 	FaultTolerance FaultTolerance    `toml:"faultTolerance"`
 	Bounds         Bounds            `toml:"bounds"`
 	CloudAPI       CloudAPI          `toml:"cloudApi"`
+	// Metrics is where the process serves its figures, as PORT/PATH; empty: nowhere.
+	Metrics string `toml:"metrics"`
 }
 
 // Listen holds the addresses that callers outside the system use. One that the role does not serve is invalid.
@@ -182,6 +186,8 @@
 		return merry.New("limits.fileDescriptors must be above 0")
 	case s.FaultTolerance.Machines < 0:
 		return merry.New("faultTolerance.machines must not be negative")
+	case s.Metrics != "" && !isEndpoint(s.Metrics):
+		return merry.Errorf("metrics is %q, want PORT/PATH", s.Metrics)
 	case s.Has(ServesFrontend) && !s.Listen.Frontend.IsValid():
 		return merry.New("listenAddresses.frontend is missing though the role serves frontend")
 	case s.Has(ServesControlPlane) && !s.Listen.ControlPlane.IsValid():
@@ -192,6 +198,11 @@
 	return nil
 }
 
+func isEndpoint(text string) bool {
+	_, err := metrics.ParseEndpoint(text)
+	return err == nil
+}
+
 // Heartbeat is the period in which processes compare what they know.
 func (s *Settings) Heartbeat() time.Duration {
 	if s.HeartbeatMs <= 0 {
--- a/internal/store/fixture_test.go
+++ b/internal/store/fixture_test.go
@@ -187,7 +187,7 @@
 func (f *fixedAdmission) Pick(service string, _ time.Time, r admission.Request) (discovery.Backend, Permit, *admission.Refusal) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	if service != testService || !r.Lot || f.refuse {
+	if service != testService || !r.Batch || f.refuse {
 		f.refused++
 		return discovery.Backend{}, nil, &admission.Refusal{RetryAfter: time.Millisecond}
 	}
--- a/internal/store/request.go
+++ b/internal/store/request.go
@@ -8,7 +8,7 @@
 )
 
 func admissionRequest(snapshot *configuration.Snapshot, route *configuration.Route, t *task) admission.Request {
-	request := admission.Request{Lot: true, Urgent: t.job.urgency.isPressing(), Priority: route.Priority, Tokens: int(t.item.Tokens), Prefix: prefixOf(&t.item)}
+	request := admission.Request{Batch: true, Urgent: t.job.urgency.isPressing(), Priority: route.Priority, Tokens: int(t.item.Tokens), Prefix: prefixOf(&t.item)}
 	if tenant := snapshot.TenantByName(t.job.open.Key.Tenant); tenant != nil && tenant.HasPriority {
 		request.Priority = tenant.Priority
 	}
--- a/internal/store/served.go
+++ b/internal/store/served.go
@@ -5,6 +5,7 @@
 	"net/netip"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -33,6 +34,7 @@
 	partition *partition
 	node      *chain.Node
 	learning  context.CancelFunc // not nil while the replica is a learner
+	runner    atomic.Pointer[runner]
 
 	mutex   sync.Mutex
 	stop    context.CancelFunc // not nil while the runner works
@@ -82,7 +84,10 @@
 		if former != nil {
 			<-former
 		}
-		newRunner(d.service.execution, d.partition).run(ctx)
+		r := newRunner(d.service.execution, d.partition)
+		d.runner.Store(r)
+		r.run(ctx)
+		d.runner.CompareAndSwap(r, nil)
 	}()
 }
 
--- a/internal/store/service_test.go
+++ b/internal/store/service_test.go
@@ -14,10 +14,10 @@
 	"go.uber.org/zap"
 
 	"nickelline/internal/batch"
+	"nickelline/internal/batchapi"
 	"nickelline/internal/chain"
 	"nickelline/internal/configuration"
 	"nickelline/internal/fault"
-	"nickelline/internal/lots"
 	"nickelline/internal/peer"
 	"nickelline/internal/placement"
 	"nickelline/internal/segment"
@@ -31,7 +31,7 @@
 	fixture *fixture
 	stores  []*testStore
 	table   atomic.Pointer[placement.Table]
-	client  *lots.Client
+	client  *batchapi.Client
 	route   *configuration.Route
 }
 
@@ -58,7 +58,7 @@
 	}
 	transport.Start()
 	t.Cleanup(transport.Close)
-	c.client = lots.New(lots.Options{Caller: transport, Locate: c.locate, Zone: "zone-1", QuotaOvershoot: 0.1})
+	c.client = batchapi.New(batchapi.Options{Caller: transport, Locate: c.locate, Zone: "zone-1", QuotaOvershoot: 0.1})
 	return c
 }
 
