--- a/internal/admission/thresholds.go
+++ b/internal/admission/thresholds.go
@@ -15,8 +15,8 @@
 	batchCrowding = 2.5  // answers take longer than this multiple of the uncrowded latency
 	batchBlock    = 2.0  // R of batch work as a multiple of H
 	// Where it is known what all nodes have at a backend, batch work takes the room that live requests leave:
-	batchSharedPart  = 0.9 // H as a part of the slots,
-	batchSharedBlock = 1.2 // and R
+	batchSharedPart  = 1.0 // H as a part of the slots,
+	batchSharedBlock = 1.3 // and R
 	// Where nobody tells, other nodes may have as much there:
 	batchBlindPart  = 0.25  // H as a part of the slots,
 	batchBlindBlock = 0.375 // and R
