--- /dev/null
+++ b/internal/proxy/stats_test.go
@@ -0,0 +1,79 @@
+package proxy
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"nickelline/internal/admission"
+	"nickelline/internal/discovery"
+	"nickelline/internal/fault"
+)
+
+// recordedLoads notes in which order a request asks for loads, is admitted and is told of.
+type recordedLoads struct {
+	mutex sync.Mutex
+	steps []string
+}
+
+func (l *recordedLoads) note(step string) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.steps = append(l.steps, step)
+}
+
+func (l *recordedLoads) Refresh(context.Context, string) { l.note("refresh") }
+func (l *recordedLoads) Tell(string)                     { l.note("tell") }
+
+func TestLoadsAreAskedForBeforeEachPickAndToldAfterIt(t *testing.T) {
+	var loads recordedLoads
+	refuse := false
+	s := startTier(t, func(o *Options) {
+		pick := o.Pick
+		o.Loads = &loads
+		o.Pick = func(service string, now time.Time, r admission.Request) (discovery.Backend, Ticket, *admission.Refusal) {
+			loads.note("pick")
+			if refuse {
+				return discovery.Backend{}, nil, &admission.Refusal{}
+			}
+			return pick(service, now, r)
+		}
+	}, startBackend(t, ok("fine")))
+	if a := s.post(t, "/many/1"); a.StatusCode != http.StatusOK {
+		t.Fatalf("status %d", a.StatusCode)
+	}
+	refuse = true
+	if a := s.post(t, "/many/2"); a.StatusCode != http.StatusServiceUnavailable {
+		t.Fatalf("status %d", a.StatusCode)
+	}
+	if want := []string{"refresh", "pick", "tell", "refresh", "pick"}; !slices.Equal(loads.steps, want) {
+		t.Errorf("%v, want %v", loads.steps, want)
+	}
+}
+
+func TestStatsTellWhatBecameOfRequests(t *testing.T) {
+	failing := startBackend(t, text(whole(http.StatusInternalServerError, sealField, "no")))
+	s := startTier(t, nil, failing, startBackend(t, ok("fine")))
+	if a := s.post(t, "/many/1"); a.StatusCode != http.StatusOK {
+		t.Fatalf("status %d", a.StatusCode)
+	}
+	if a := s.post(t, "/nowhere/"); a.StatusCode != http.StatusNotFound {
+		t.Fatalf("status %d", a.StatusCode)
+	}
+	stats := s.Stats()
+	if stats.Attempts != 2 || stats.Retries != 1 || stats.Passed != 1 {
+		t.Errorf("%+v", stats)
+	}
+	for kind, count := range stats.Faults {
+		want := uint64(0)
+		if kind == fault.RouteNotFound {
+			want = 1
+		}
+		if count != want {
+			t.Errorf("%v: %d answers, want %d", kind, count, want)
+		}
+	}
+}
