--- a/cmd/nickelline/proxy.go
+++ b/cmd/nickelline/proxy.go
@@ -8,8 +8,8 @@
 
 	"go.uber.org/zap"
 
-	"nickelline/internal/forward"
 	"nickelline/internal/batchapi"
+	"nickelline/internal/forward"
 	"nickelline/internal/nodestate"
 	"nickelline/internal/proxy"
 	"nickelline/internal/quota"
