--- /dev/null
+++ b/internal/simnet/disk_power.go
@@ -0,0 +1,60 @@
+package simnet
+
+import "slices"
+
+func (d *Disk) used() int {
+	total := 0
+	for _, node := range d.names {
+		total += len(node.data)
+	}
+	return total
+}
+
+// settleNames decides which of the unsynced changes of names last.
+func (d *Disk) settleNames() {
+	all := make(map[string]bool)
+	for name := range d.names {
+		all[name] = true
+	}
+	for name := range d.syncedNames {
+		all[name] = true
+	}
+	settled := make(map[string]*inode)
+	for _, name := range sortedKeys(all) {
+		node := d.names[name]
+		if node != d.syncedNames[name] && d.random.IntN(2) == 0 {
+			node = d.syncedNames[name]
+		}
+		if node != nil {
+			settled[name] = node.copyIfNamed()
+		}
+	}
+	d.names = settled
+	d.syncedNames = cloneNames(settled)
+}
+
+func (d *Disk) settleFiles() {
+	fate := drawFate(d.random)
+	for _, name := range sortedKeys(d.names) {
+		node := d.names[name]
+		node.settle(d.random, fate)
+		node.named = false
+	}
+}
+
+func sortedKeys[V any](m map[string]V) []string {
+	keys := make([]string, 0, len(m))
+	for key := range m {
+		keys = append(keys, key)
+	}
+	slices.Sort(keys)
+	return keys
+}
+
+func cloneNames(names map[string]*inode) map[string]*inode {
+	clone := make(map[string]*inode, len(names))
+	for name, node := range names {
+		clone[name] = node
+	}
+	return clone
+}
