--- a/internal/admission/shared_test.go
+++ b/internal/admission/shared_test.go
@@ -149,10 +149,23 @@
 	}
 }
 
+// The pool of a store that has just become the head knows of no requests but its own, and not even how long an answer takes.
 func TestBatchIsCarefulWithoutNews(t *testing.T) {
-	p := newSilentPool(10, 8, "a")
-	if sent := fillWithBatch(p, at(time.Minute)); sent > 10*(8*3/8+1) {
-		t.Errorf("%d items at 10 backends of 8 slots, of which nothing is known", sent)
+	const backends, slots = 10, 8
+	for name, p := range map[string]*Pool{
+		"no answer yet": newTestPool(backendsOf(backends, slots, "a")),
+		"no news":       newSilentPool(backends, slots, "a"),
+	} {
+		sent := 0
+		for i := range 2000 {
+			if ticket, _ := p.Pick(at(time.Minute+time.Duration(i)*time.Millisecond), Request{Batch: true, Urgent: true}); ticket != nil {
+				ticket.Started(at(time.Minute + time.Duration(i)*time.Millisecond))
+				sent++
+			}
+		}
+		if sent > backends*slots*3/8 {
+			t.Errorf("%s: %d items at %d backends of %d slots", name, sent, backends, slots)
+		}
 	}
 }
 
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -110,6 +110,7 @@
 		"no listener":     {`controlPlane = "10.1.0.7:8407"`, "", "listenAddresses.controlPlane"},
 		"store, no disk":  {`serves = ["control_plane"]`, `serves = ["storage"]`, "dataDirectory"},
 		"not TOML":        {"[limits]", "[limits", "line"},
+		"bad endpoint":    {"initialStart = true", "metrics = \"/figures\"\ninitialStart = true", "metrics"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			text := strings.Replace(example, change.from, change.to, 1)
