Silence of backends is judged by each node alone again

Under overload all slots of a backend may be held for longer than the bound on silence, and then all nodes of a zone took it out at once and filled the others. The mechanism goes, with its messages and tests.

--- a/internal/admission/health.go
+++ b/internal/admission/health.go
@@ -97,33 +97,17 @@
 
 // judgeSilence ejects a backend that has not answered for long, before its requests time out.
 func (p *Pool) judgeSilence(now time.Time, s *server) {
-	if s.failures.ejected || s.latencyAt.IsZero() && p.answers < enoughAnswers {
+	if s.failures.ejected || s.unanswered < muteAttempts || s.latencyAt.IsZero() && p.answers < enoughAnswers {
 		return
 	}
-	attempts, silence := s.silence(now, p)
-	if attempts < muteAttempts || silence < muteLeast || silence.Seconds() < muteFactor*max(p.latency, s.latency) || !p.mayEject() {
+	silence := now.Sub(s.silentFrom)
+	if silence < muteLeast || silence.Seconds() < muteFactor*max(p.latency, s.latency) || !p.mayEject() {
 		return
 	}
 	s.failures.eject(now, p.random.Float64())
 	s.failures.silent = true
 }
 
-// silence is how many attempts at a backend nobody has an answer to, and for how long: those of this node, or of the nodes
-// of its zone where that is known. A backend may be silent for some nodes alone, so the own evidence comes first.
-func (s *server) silence(now time.Time, p *Pool) (attempts int, silence time.Duration) {
-	own := now.Sub(s.silentFrom)
-	if s.unanswered >= muteAttempts && own >= muteLeast || !p.isShared(now) {
-		return s.unanswered, own
-	}
-	return s.unanswered + int(s.shared.unanswered), s.shared.silence
-}
-
-// triedByOthers tells whether other nodes wait for a first answer of an ejected backend, so that one more trial would tell
-// nothing new.
-func (s *server) triedByOthers(now time.Time, p *Pool) bool {
-	return s.failures.silent && p.isShared(now) && s.shared.unanswered > 0 && s.shared.silence >= muteLeast/2
-}
-
 // mayEject tells whether the pool can do without one more backend.
 func (p *Pool) mayEject() bool {
 	left := -1
--- a/internal/admission/pool.go
+++ b/internal/admission/pool.go
@@ -50,7 +50,6 @@
 	firstPart float64 // of a request's time, until the first part of its answer
 
 	usedAt     time.Time // of the last request
-	reportedAt time.Time
 	sharedAt   time.Time // when it was told what all nodes have
 	byKey      map[uint32]*server
 	livePart   float64 // of the slots that live requests of all nodes take
@@ -182,7 +181,7 @@
 			continue
 		}
 		p.judgeSilence(now, s)
-		if !ejected && (!s.failures.open(now) || s.triedByOthers(now, p)) {
+		if !ejected && !s.failures.open(now) {
 			continue
 		}
 		p.consider(now, s, c, &found)
--- a/internal/admission/shared.go
+++ b/internal/admission/shared.go
@@ -20,14 +20,11 @@
 	InFlight, Batch, Unanswered int
 	// Pending is the size of the unanswered requests, as a multiple of a mean one.
 	Pending float64
-	// Silence is the time since the backend was last heard.
-	Silence time.Duration
 }
 
 // sharedLoad is what other nodes have at a backend, and what this node had told of itself when it was told so.
 type sharedLoad struct {
 	inFlight, batch, unanswered, pending    float64 // of other nodes
-	silence                                 time.Duration
 	toldInFlight, toldBatch, toldUnanswered int
 	toldPending                             float64
 }
@@ -37,7 +34,7 @@
 
 // Report gives what this node has at its backends, for nodes that choose among the same ones. Backends that tell their load
 // make it needless, and so does a pool that is not in use. Unless all are to be named, those are left out at which there is
-// nothing and which were not heard since the last report.
+// nothing.
 func (p *Pool) Report(now time.Time, complete bool) (loads []BackendLoad, wanted bool) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
@@ -46,18 +43,16 @@
 	}
 	for _, s := range p.servers {
 		s.shared.tell(s)
-		if complete || s.inFlight > 0 || s.latencyAt.After(p.reportedAt) {
+		if complete || s.inFlight > 0 {
 			loads = append(loads, BackendLoad{
 				Backend:    s.key(),
 				InFlight:   s.inFlight,
 				Batch:      s.batch,
 				Unanswered: s.unanswered,
 				Pending:    s.pending,
-				Silence:    now.Sub(s.latencyAt),
 			})
 		}
 	}
-	p.reportedAt = now
 	return loads, true
 }
 
@@ -85,7 +80,6 @@
 	l.batch = float64(max(0, all.Batch-l.toldBatch))
 	l.unanswered = float64(max(0, all.Unanswered-l.toldUnanswered))
 	l.pending = max(0, all.Pending-l.toldPending)
-	l.silence = all.Silence
 }
 
 // tellsLoad tells whether backends of the service tell their load themselves, as far as is known.
--- a/internal/admission/shared_test.go
+++ b/internal/admission/shared_test.go
@@ -52,10 +52,6 @@
 		t.Errorf("one item of a batch job: %+v", loads)
 	}
 	ticket.Done(at(1100*time.Millisecond), OK, nil)
-	loads, _ = p.Report(at(1200*time.Millisecond), false)
-	if len(loads) != 1 || loads[0].InFlight != 0 || loads[0].Batch != 0 || loads[0].Silence != 100*time.Millisecond {
-		t.Errorf("a backend that was heard since the last report: %+v", loads)
-	}
 	if loads, _ = p.Report(at(1300*time.Millisecond), false); len(loads) != 0 {
 		t.Errorf("nothing is new: %+v", loads)
 	}
@@ -169,33 +165,6 @@
 	}
 }
 
-func TestSilenceThatAllNodesSee(t *testing.T) {
-	p := newSilentPool(6, 8, "a")
-	dark := p.servers[3]
-	waiting := BackendLoad{InFlight: 5, Unanswered: 5, Silence: 2 * muteLeast}
-	share(p, at(time.Second), BackendLoad{}, map[*server]BackendLoad{dark: waiting})
-	for range 100 {
-		ticket := mustPick(t, p, at(time.Second), Request{})
-		if ticket.server == dark {
-			t.Fatal("sent to a backend that is silent for all nodes")
-		}
-		ticket.Done(at(time.Second), Cancelled, nil)
-	}
-	later := at(time.Second + 2*ejectFirst)
-	share(p, later, BackendLoad{}, map[*server]BackendLoad{dark: {InFlight: 1, Unanswered: 1, Silence: muteLeast}})
-	if !dark.triedByOthers(later, p) {
-		t.Error("a second trial while another node's is under way")
-	}
-	share(p, later, BackendLoad{}, nil)
-	if dark.triedByOthers(later, p) {
-		t.Error("no trial though nobody else makes one")
-	}
-	share(p, at(time.Second), BackendLoad{}, map[*server]BackendLoad{p.servers[0]: {InFlight: 5, Unanswered: 5, Silence: muteLeast / 2}})
-	if p.judgeSilence(at(time.Second), p.servers[0]); p.servers[0].failures.ejected {
-		t.Error("a short silence ejects")
-	}
-}
-
 func TestNodesThatShareDoNotHerd(t *testing.T) {
 	const nodes, backends = 12, 10
 	listed := backendsOf(backends, 8, "a")
--- a/internal/load/codec.go
+++ b/internal/load/codec.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"time"
 
 	"capnproto.org/go/capnp/v3"
 	"github.com/ansel1/merry/v2"
@@ -12,13 +11,8 @@
 	"nickelline/internal/load/loadwire"
 )
 
-const (
-	// silenceUnit is the resolution of times of silence, mostSilence the longest one that can be told.
-	silenceUnit = 20 * time.Millisecond
-	mostSilence = math.MaxUint8 * silenceUnit
-	// pendingUnits is how many units a request of mean size has.
-	pendingUnits = 100
-)
+// pendingUnits is how many units a request of mean size has.
+const pendingUnits = 100
 
 // errLengths: a message does not name as many backends as it has loads.
 var errLengths = merry.New("other numbers of backends and of loads")
@@ -159,7 +153,6 @@
 		entry.SetInFlight(saturated(loads[i].InFlight))
 		entry.SetBatch(saturated(loads[i].Batch))
 		entry.SetUnanswered(uint8(min(max(loads[i].Unanswered, 0), math.MaxUint8)))
-		entry.SetSilence(uint8(min(max(loads[i].Silence, 0), mostSilence) / silenceUnit))
 		entry.SetPending(saturated(int(loads[i].Pending*pendingUnits + 0.5)))
 	}
 	return nil
@@ -182,7 +175,6 @@
 			InFlight:   int(entry.InFlight()),
 			Batch:      int(entry.Batch()),
 			Unanswered: int(entry.Unanswered()),
-			Silence:    time.Duration(entry.Silence()) * silenceUnit,
 			Pending:    float64(entry.Pending()) / pendingUnits,
 		}
 	}
--- a/internal/load/codec_test.go
+++ b/internal/load/codec_test.go
@@ -4,14 +4,13 @@
 	"reflect"
 	"slices"
 	"testing"
-	"time"
 
 	"nickelline/internal/admission"
 )
 
 func TestMessagesAreReadAsWritten(t *testing.T) {
 	loads := []admission.BackendLoad{
-		{Backend: 1 << 31, InFlight: 300, Unanswered: 7, Batch: 200, Pending: 7.25, Silence: 3 * silenceUnit},
+		{Backend: 1 << 31, InFlight: 300, Unanswered: 7, Batch: 200, Pending: 7.25},
 		{Backend: 2},
 	}
 	r := &report{service: "s", loads: loads, complete: true, unasking: true}
@@ -39,7 +38,7 @@
 
 func TestLargeFiguresAreBounded(t *testing.T) {
 	body, err := encodeReport(&report{loads: []admission.BackendLoad{
-		{InFlight: 1 << 20, Unanswered: 1 << 20, Batch: 1 << 20, Silence: time.Hour}, {InFlight: -1, Unanswered: -1, Silence: -time.Second},
+		{InFlight: 1 << 20, Unanswered: 1 << 20, Batch: 1 << 20}, {InFlight: -1, Unanswered: -1},
 	}})
 	if err != nil {
 		t.Fatal(err)
@@ -48,7 +47,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if l := r.loads[0]; l.InFlight != 65535 || l.Unanswered != 255 || l.Silence != mostSilence {
+	if l := r.loads[0]; l.InFlight != 65535 || l.Unanswered != 255 {
 		t.Errorf("large figures: %+v", l)
 	}
 	if l := r.loads[1]; l != (admission.BackendLoad{}) {
--- a/internal/load/collector.go
+++ b/internal/load/collector.go
@@ -51,10 +51,8 @@
 
 // total is what nodes have at one backend.
 type total struct {
-	own      count // of the nodes of the collector's zone
-	far      count // of those of other zones
-	heardAt  time.Time
-	silentAt time.Time // since when nodes of the zone wait for a first part of an answer
+	own count // of the nodes of the collector's zone
+	far count // of those of other zones
 }
 
 type count struct {
@@ -100,7 +98,7 @@
 		state.uses = backendsOf(r.loads)
 		state.table = tableOf(state.uses)
 	}
-	return &answer{service: r.service, table: state.table, loads: s.loadsOf(now, state.uses)}
+	return &answer{service: r.service, table: state.table, loads: s.loadsOf(state.uses)}
 }
 
 // takeSummary takes the place of the former one of the same part of a zone.
@@ -150,27 +148,12 @@
 	for i := range state.loads {
 		s.total(state.loads[i].Backend).own.add(&state.loads[i], -1)
 	}
-	former := state.loads
 	state.at, state.loads = now, loads
 	for i := range loads {
-		l := &loads[i]
-		t := s.total(l.Backend)
-		waited := t.own.unanswered > 0
-		t.own.add(l, 1)
-		if heardAt := now.Add(-l.Silence); heardAt.After(t.heardAt) {
-			t.heardAt = heardAt
-		}
-		if !waited && t.own.unanswered > 0 && !hadUnanswered(former, l.Backend) {
-			t.silentAt = now
-		}
+		s.total(loads[i].Backend).own.add(&loads[i], 1)
 	}
 }
 
-// hadUnanswered tells whether loads name requests without an answer at a backend.
-func hadUnanswered(loads []admission.BackendLoad, backend uint32) bool {
-	return slices.ContainsFunc(loads, func(l admission.BackendLoad) bool { return l.Backend == backend && l.Unanswered > 0 })
-}
-
 func (s *serviceLoads) addFar(loads []admission.BackendLoad, sign int) {
 	for i := range loads {
 		s.total(loads[i].Backend).far.add(&loads[i], sign)
@@ -187,7 +170,7 @@
 }
 
 // loadsOf gives the sums for some backends, in their order.
-func (s *serviceLoads) loadsOf(now time.Time, backends []uint32) []admission.BackendLoad {
+func (s *serviceLoads) loadsOf(backends []uint32) []admission.BackendLoad {
 	loads := make([]admission.BackendLoad, len(backends))
 	for i, backend := range backends {
 		loads[i].Backend = backend
@@ -196,20 +179,11 @@
 			loads[i].Batch = t.own.batch + t.far.batch
 			loads[i].Unanswered = t.own.unanswered + t.far.unanswered
 			loads[i].Pending = max(0, t.own.pending+t.far.pending)
-			loads[i].Silence = t.silence(now)
 		}
 	}
 	return loads
 }
 
-// silence is for how long nodes of the zone have waited for the backend without hearing it.
-func (t *total) silence(now time.Time) time.Duration {
-	if t.own.unanswered == 0 {
-		return 0
-	}
-	return max(0, min(now.Sub(t.silentAt), now.Sub(t.heardAt)))
-}
-
 // sweep forgets what was not renewed, once in an interval.
 func (s *serviceLoads) sweep(now time.Time) {
 	if now.Sub(s.sweptAt) < Interval {
--- a/internal/load/collector_test.go
+++ b/internal/load/collector_test.go
@@ -22,7 +22,7 @@
 }
 
 func loadOf(backend uint32, inFlight, unanswered int) admission.BackendLoad {
-	return admission.BackendLoad{Backend: backend, InFlight: inFlight, Unanswered: unanswered, Silence: time.Hour}
+	return admission.BackendLoad{Backend: backend, InFlight: inFlight, Unanswered: unanswered}
 }
 
 // told gives what an answer says of a backend.
@@ -126,30 +126,3 @@
 		t.Errorf("%d requests in all, want %d", sum, 2*len(loads))
 	}
 }
-
-func TestSilenceEndsWithAnyNodesAnswer(t *testing.T) {
-	c := newCollector("a")
-	waiting := admission.BackendLoad{Backend: 1, InFlight: 2, Unanswered: 2, Silence: time.Hour}
-	var a *answer
-	for now := time.Duration(0); now <= 400*time.Millisecond; now += Interval {
-		a = c.takeReport(at(now), nodeA, reportOf(true, waiting))
-	}
-	if l := told(a, 1); l.Silence != 400*time.Millisecond {
-		t.Errorf("silent for 400 ms: %v", l.Silence)
-	}
-	heard := admission.BackendLoad{Backend: 1, Silence: 10 * time.Millisecond}
-	a = c.takeReport(at(410*time.Millisecond), nodeB, reportOf(true, heard))
-	if l := told(a, 1); l.Silence != 10*time.Millisecond {
-		t.Errorf("another node has just heard the backend, silence is %v", l.Silence)
-	}
-}
-
-// A backend that nobody asked anything for long is not silent from the moment at which somebody does.
-func TestSilenceBeginsWithTheRequest(t *testing.T) {
-	c := newCollector("a")
-	c.takeReport(at(0), nodeA, reportOf(true, loadOf(1, 0, 0)))
-	a := c.takeReport(at(time.Minute), nodeA, reportOf(true, loadOf(1, 1, 1)))
-	if l := told(a, 1); l.Silence != 0 {
-		t.Errorf("silence of %v right after the first request", l.Silence)
-	}
-}
--- a/internal/load/loadwire/load.capnp
+++ b/internal/load/loadwire/load.capnp
@@ -11,9 +11,7 @@
   # Of those, items of batch jobs.
   unanswered @2 :UInt8;
   # Of those in flight, requests without a first part of an answer; the greatest number: as many or more.
-  silence @3 :UInt8;
-  # Time since the backend was last heard, in units of 20 ms; the greatest number: as long or longer.
-  pending @4 :UInt16;
+  pending @3 :UInt16;
   # Size of the unanswered requests, in hundredths of a mean one.
 }
 
@@ -23,7 +21,7 @@
   backends @1 :List(UInt32);
   # Hashes of the backends' identifiers.
   loads @2 :List(Load);
-  # In the order of the backends. Those at which the node has nothing and of which it has heard nothing may be left out.
+  # In the order of the backends. Those at which the node has nothing may be left out.
   complete @3 :Bool;
   # The report names all backends that the node uses: answers are to tell of these in this order from now on.
   unasking @4 :Bool;
