--- a/internal/store/attempt.go
+++ b/internal/store/attempt.go
@@ -72,12 +72,10 @@
 	progress atomic.Int64    // when the last event came, by the time since began
 	streams  atomic.Bool     // an event has come
 	began    time.Time
-	// continued: an earlier run had brought a part of the text.
-	continued bool
 }
 
 func newAttempt(ctx context.Context, r *runner, t *task, route *configuration.Route, backend discovery.Backend, permit Permit) *attempt {
-	a := &attempt{runner: r, task: t, route: route, backend: backend, permit: permit, began: time.Now(), home: ctx, continued: t.begun()}
+	a := &attempt{runner: r, task: t, route: route, backend: backend, permit: permit, began: time.Now(), home: ctx}
 	a.ctx, a.cancel = context.WithCancelCause(ctx)
 	return a
 }
--- a/internal/store/dispatch.go
+++ b/internal/store/dispatch.go
@@ -142,9 +142,6 @@
 	}
 	switch v.next {
 	case complete:
-		if !a.continued {
-			r.runTimes.observe(a.route.Name, time.Since(a.began))
-		}
 		r.finish(ctx, t, batch.Result{State: batch.Completed, Content: v.content, From: v.from})
 	case giveUp:
 		r.finish(ctx, t, batch.Result{State: batch.Abandoned})
--- a/internal/store/review.go
+++ b/internal/store/review.go
@@ -74,7 +74,7 @@
 func (r *runner) urgencyOf(route *configuration.Route, j *openJob, age time.Duration) urgency {
 	var u urgency
 	if route.CompletionTarget > 0 {
-		u.late = age+r.runTimes.expected(j.open.Route) >= route.CompletionTarget
+		u.late = age >= route.CompletionTarget
 		u.pressure = age.Seconds() / route.CompletionTarget.Seconds()
 	}
 	if route.MaxQueuedTokens > 0 {
--- a/internal/store/runner.go
+++ b/internal/store/runner.go
@@ -25,17 +25,16 @@
 	appender  *appender
 	wake      chan struct{}
 
-	mutex    sync.Mutex
-	jobs     map[batch.Key]*openJob
-	queue    queue
-	running  map[*task]*attempt
-	delayed  []delayedTask
-	paused   map[string]time.Time // by route: no item is sent before
-	taken    []batch.Key          // jobs that are not in the queue yet
-	reload   bool                 // the whole state was replaced
-	idle     time.Time            // nothing is sent before: a proof was lacking
-	runTimes runTimes
-	cleaned  time.Time // when jobs that are no longer owed were looked for
+	mutex   sync.Mutex
+	jobs    map[batch.Key]*openJob
+	queue   queue
+	running map[*task]*attempt
+	delayed []delayedTask
+	paused  map[string]time.Time // by route: no item is sent before
+	taken   []batch.Key          // jobs that are not in the queue yet
+	reload  bool                 // the whole state was replaced
+	idle    time.Time            // nothing is sent before: a proof was lacking
+	cleaned time.Time            // when jobs that are no longer owed were looked for
 }
 
 // delayedTask waits for a time before it goes back to the queue.
@@ -53,7 +52,6 @@
 		jobs:      map[batch.Key]*openJob{},
 		running:   map[*task]*attempt{},
 		paused:    map[string]time.Time{},
-		runTimes:  runTimes{},
 		reload:    true,
 		cleaned:   time.Now(),
 	}
--- a/internal/store/stats.go
+++ b/internal/store/stats.go
@@ -4,7 +4,7 @@
 
 // RouteStats are the figures of the items of one route in the partitions that a store is the head of.
 type RouteStats struct {
-	// Waiting items are kept here and run nowhere. Of those, Late ones cannot be in time any more.
+	// Waiting items are kept here and run nowhere. Of those, Late ones are past the time at which results are due.
 	Waiting, Late int
 	// Running items have an attempt under way.
 	Running int
