chain, store: results and checkpoints are appended only in the term of their runner

Cause: Node.Propose passes a command on to the head that it knows. A head that missed a view in which another replica was head went on with the same runner.

Change: a term is a sequence of views with consecutive epochs that name the same replica as head. Node.ProposeInTerm has a command appended only in the term that its caller names, here and nowhere else; a replica that enters a new term rejects what waits. The runner of a partition belongs to one term.

--- a/internal/chain/head.go
+++ b/internal/chain/head.go
@@ -46,10 +46,12 @@
 	return ready
 }
 
-// updateHeadRole keeps what was begun if the replica is also head of the new view, and resigns otherwise.
-func (r *Replica) updateHeadRole() {
-	if !r.isHead() {
+// updateHeadRole keeps what was begun if the former term goes on in the new view, and resigns otherwise.
+func (r *Replica) updateHeadRole(formerTerm uint64) {
+	if !r.isHead() || r.term != formerTerm {
 		r.resignAsHead()
+	}
+	if !r.isHead() {
 		return
 	}
 	r.head.priorCommitBound = r.history.last().Sequence
--- a/internal/chain/install_view.go
+++ b/internal/chain/install_view.go
@@ -37,6 +37,8 @@
 // enterView brings a view into force that is on disk: all sessions of the epoch before end.
 func (r *Replica) enterView(now time.Duration, v view.View) {
 	r.notifyLearners(v)
+	formerTerm := r.term
+	r.term = r.termIn(v)
 	r.view = v
 	if member, ok := v.Member(r.self.Replica); ok && member.Joined <= 1 {
 		r.completeEpoch = max(r.completeEpoch, 1)
@@ -45,7 +47,7 @@
 	clear(r.learners)
 	r.resetUpstream(now)
 	r.connectSuccessor(now)
-	r.updateHeadRole()
+	r.updateHeadRole(formerTerm)
 	if v.Epoch > 0 {
 		r.out.Views = append(r.out.Views, v.Clone())
 	}
--- a/internal/chain/propose.go
+++ b/internal/chain/propose.go
@@ -22,6 +22,10 @@
 	err    error
 }
 
+func newProposalCall() *proposalCall {
+	return &proposalCall{result: make(chan proposalResult, 1)}
+}
+
 // resolve gives the caller its result. Calls after the first one have no effect.
 func (p *proposalCall) resolve(result proposalResult) {
 	select {
@@ -70,12 +74,33 @@
 	return response.result, fault.Wrap(fault.Unclear, err)
 }
 
+// ProposeInTerm has a command committed that builds on what this replica has done as head since a term began (see
+// HeadTerm), and returns the result of applying it. It is never passed on to another head: once the term is over, the
+// error is fault.NotReady, and the command was certainly not appended and never will be. Other errors are as with
+// Propose.
+func (n *Node) ProposeInTerm(ctx context.Context, term uint64, command []byte) ([]byte, error) {
+	ctx, cancel := withDefaultTimeout(ctx)
+	defer cancel()
+	call := newProposalCall()
+	err := n.beginProposal(call, command, func(now time.Duration) { n.replica.ProposeInTerm(now, call.id, term, command) })
+	if err != nil {
+		return nil, err
+	}
+	return n.awaitProposal(ctx, call)
+}
+
 // proposeLocally proposes at this replica, as the head.
 func (n *Node) proposeLocally(ctx context.Context, command []byte) ([]byte, error) {
-	call := &proposalCall{result: make(chan proposalResult, 1)}
-	if err := n.beginProposal(call, command); err != nil {
+	call := newProposalCall()
+	err := n.beginProposal(call, command, func(now time.Duration) { n.replica.Propose(now, call.id, command) })
+	if err != nil {
 		return nil, err
 	}
+	return n.awaitProposal(ctx, call)
+}
+
+// awaitProposal waits for the result of a proposal until ctx ends.
+func (n *Node) awaitProposal(ctx context.Context, call *proposalCall) ([]byte, error) {
 	select {
 	case resolved := <-call.result:
 		return resolved.result, resolved.err
@@ -84,8 +109,8 @@
 	}
 }
 
-// beginProposal passes a command to the state machine and registers its caller.
-func (n *Node) beginProposal(call *proposalCall, command []byte) error {
+// beginProposal passes a command to the state machine by the given event, and registers its caller.
+func (n *Node) beginProposal(call *proposalCall, command []byte, event func(now time.Duration)) error {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
 	if n.failure != nil {
@@ -97,7 +122,7 @@
 	n.lastID++
 	call.id = n.lastID
 	n.proposals[call.id] = call
-	n.stepLocked(func(now time.Duration) { n.replica.Propose(now, call.id, command) })
+	n.stepLocked(event)
 	return nil
 }
 
--- a/internal/chain/replica.go
+++ b/internal/chain/replica.go
@@ -19,6 +19,7 @@
 	limits          limits
 
 	view          view.View  // in force
+	term          uint64     // epoch of the first view of the term in which this replica is head, 0 if it is not
 	installing    *view.View // being written to disk
 	completeEpoch uint64     // latest epoch in which the replica was complete, 0 if it never was
 	completing    uint64     // the same, being written to disk
--- a/internal/chain/simulation_site_calls_test.go
+++ b/internal/chain/simulation_site_calls_test.go
@@ -29,10 +29,15 @@
 }
 
 func (s *site) propose(command []byte, reply func(writeResult)) {
+	s.proposeBy(func(now time.Duration, id uint64) { s.replica.Propose(now, id, command) }, reply)
+}
+
+// proposeBy has a client's command proposed by the given event.
+func (s *site) proposeBy(event func(now time.Duration, id uint64), reply func(writeResult)) {
 	s.simulation.lastID++
 	id := s.simulation.lastID
 	s.proposals[id] = reply
-	s.step(func(now time.Duration) { s.replica.Propose(now, id, command) })
+	s.step(func(now time.Duration) { event(now, id) })
 	s.after(operationTime, func() {
 		if s.proposals[id] != nil && s.replica.Cancel(id) {
 			delete(s.proposals, id)
--- a/internal/chain/status.go
+++ b/internal/chain/status.go
@@ -36,5 +36,16 @@
 	return n.failure == nil && n.replica.isHead()
 }
 
+// HeadTerm returns the term in which this replica is head, 0 if the view in force here names another one. While it does
+// not change, no other replica has appended a command since it began. Only a Barrier proves that it has not ended.
+func (n *Node) HeadTerm() uint64 {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	if n.failure != nil || !n.replica.isHead() {
+		return 0
+	}
+	return n.replica.HeadTerm()
+}
+
 // Impaired reports whether the disk of this replica has failed or is stalled: the chain should go on without it.
 func (n *Node) Impaired() bool { return n.stopped() || n.disk.stalled(time.Now()) }
--- a/internal/store/appender.go
+++ b/internal/store/appender.go
@@ -24,10 +24,14 @@
 // out together. It tries until they are committed or its context ends. Appending again is safe when the outcome of an append is
 // not known: an item is listed once, and a checkpoint added once, however often they are appended.
 //
+// Results and checkpoints build on the checkpoints that the runner has read, so they are appended in its term only: what another
+// head has appended meanwhile would be cut off.
+//
 // It has a goroutine only while there are results, which add starts, and which ends with the context or when nothing is pending.
 // close waits for it.
 type appender struct {
 	partition *partition
+	term      uint64 // of the runner
 	log       *zap.Logger
 	mutex     sync.Mutex
 	pending   []batch.Result
@@ -75,10 +79,10 @@
 	}
 }
 
-// append tries until the results are committed.
+// append tries until the results are committed, or the context ends, which it does soon after the term.
 func (a *appender) append(ctx context.Context, results []batch.Result) {
 	for ctx.Err() == nil {
-		_, err := a.partition.propose(ctx, &batch.Command{Append: results})
+		_, err := a.partition.proposeInTerm(ctx, a.term, &batch.Command{Append: results})
 		if err == nil {
 			return
 		}
--- a/internal/store/dispatch_test.go
+++ b/internal/store/dispatch_test.go
@@ -91,7 +91,7 @@
 	late, second := testJob(testKey(1), 3, 1), testJob(testKey(2), 3, 1)
 	f.submit(late)
 	f.submit(second)
-	r := newRunner(f.config, f.partition)
+	r := newRunner(f.config, f.partition, testTerm)
 	r.updateSchedule(time.Now())
 	r.schedule.Job(late.Key).Urgency.Late = true
 	var got []string
--- a/internal/store/fakes_test.go
+++ b/internal/store/fakes_test.go
@@ -18,6 +18,9 @@
 	"nickelline/internal/view"
 )
 
+// testTerm is the term of a fakeReplica that is the head.
+const testTerm = 4
+
 // fakeReplica is a chain of one replica that commits at once.
 type fakeReplica struct {
 	mutex    sync.Mutex
@@ -51,6 +54,20 @@
 	return outcome, nil
 }
 
+func (f *fakeReplica) ProposeInTerm(ctx context.Context, term uint64, command []byte) ([]byte, error) {
+	if term != f.HeadTerm() {
+		return nil, errTestNotReady
+	}
+	return f.Propose(ctx, command)
+}
+
+func (f *fakeReplica) HeadTerm() uint64 {
+	if f.IsHead() {
+		return testTerm
+	}
+	return 0
+}
+
 func (f *fakeReplica) Barrier(context.Context) error {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
--- a/internal/store/fixture_test.go
+++ b/internal/store/fixture_test.go
@@ -157,7 +157,7 @@
 
 // start runs the runner of the fixture's partition until the test ends, or stop is called.
 func (f *fixture) start() {
-	f.runner = newRunner(f.config, f.partition)
+	f.runner = newRunner(f.config, f.partition, testTerm)
 	f.stop = f.run(f.runner)
 }
 
--- a/internal/store/hosted_partition.go
+++ b/internal/store/hosted_partition.go
@@ -11,8 +11,7 @@
 
 // hostedPartition is a partition that this store hosts: its replica, and its runner while the replica is the head.
 //
-// Goroutines: each runner has one, which viewChanged starts when the replica becomes the head. It ends when the replica is no
-// longer head or the partition is closed; the next runner, and close, wait for it. While the replica is a learner another
+// Goroutines: each runner has one, which viewChanged starts when a term of the replica begins. It ends when the term is over or the partition is closed; the next runner, and close, wait for it. While the replica is a learner another
 // goroutine follows the members, which setLearner starts and ends, as does close; nobody waits for it.
 type hostedPartition struct {
 	service      *Service
@@ -23,6 +22,7 @@
 
 	mutex       sync.Mutex
 	stopRunning context.CancelFunc // not nil while there is a runner that has not been stopped
+	term        uint64             // of that runner
 	runnerEnded chan struct{}      // closed when the last runner has ended; nil if there was none
 	closed      bool
 }
@@ -46,30 +46,31 @@
 	h.viewChanged()
 }
 
-// viewChanged starts a runner when the replica has become the head, and stops it when it is no longer.
+// viewChanged starts a runner when a term of the replica has begun, and stops it when that is over.
 func (h *hostedPartition) viewChanged() {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
-	isHead := h.node.IsHead()
-	switch {
-	case isHead && h.stopRunning == nil && !h.closed:
-		h.startRunner()
-	case !isHead && h.stopRunning != nil:
+	term := h.node.HeadTerm()
+	if h.stopRunning != nil && term != h.term {
 		h.stopRunner()
 	}
+	if h.stopRunning == nil && term != 0 && !h.closed {
+		h.startRunner(term)
+	}
 }
 
-// startRunner starts a runner, which begins when the one before has ended. The caller holds the mutex.
-func (h *hostedPartition) startRunner() {
+// startRunner starts the runner of a term, which begins when the one before has ended. The caller holds the mutex.
+func (h *hostedPartition) startRunner(term uint64) {
 	ctx, cancel := context.WithCancel(h.service.ctx)
 	previous, ended := h.runnerEnded, make(chan struct{})
 	h.stopRunning, h.runnerEnded = cancel, ended
+	h.term = term
 	go func() {
 		defer close(ended)
 		if previous != nil {
 			<-previous
 		}
-		r := newRunner(h.service.runnerConfig, h.partition)
+		r := newRunner(h.service.runnerConfig, h.partition, term)
 		h.runner.Store(r)
 		r.run(ctx)
 		h.runner.CompareAndSwap(r, nil)
--- a/internal/store/partition.go
+++ b/internal/store/partition.go
@@ -23,6 +23,12 @@
 	// Propose has a command committed, and returns the encoded outcome. An error of a kind other than NotReady leaves open whether
 	// it is or will be committed.
 	Propose(ctx context.Context, command []byte) ([]byte, error)
+	// ProposeInTerm is Propose for a command that builds on what this replica has done as head since the term began. Once the term
+	// is over the error is of kind NotReady: another head never gets the command.
+	ProposeInTerm(ctx context.Context, term uint64, command []byte) ([]byte, error)
+	// HeadTerm identifies the time during which this replica is the head without interruption, by the views that are known here. It
+	// is 0 if this replica is not the head.
+	HeadTerm() uint64
 	// Barrier returns once this replica has applied all that was committed anywhere when the call began.
 	Barrier(ctx context.Context) error
 	// IsHead reports whether this replica is the head by the view that is known here. A newer view may say otherwise.
@@ -61,6 +67,21 @@
 // propose has a command committed, stamped with this store's clock. An error of a kind other than NotReady leaves open whether
 // the command is or will be committed. Success confirms leadership if this store is the head of the same view before and after.
 func (p *partition) propose(ctx context.Context, command *batch.Command) (batch.Outcome, error) {
+	return p.proposeBy(ctx, command, p.replica.Propose)
+}
+
+// proposeInTerm is propose for a command that builds on what this store has done as head since a term began. Once the term is over
+// the error is of kind NotReady, and the command never gets committed.
+func (p *partition) proposeInTerm(ctx context.Context, term uint64, command *batch.Command) (batch.Outcome, error) {
+	return p.proposeBy(ctx, command, func(ctx context.Context, encoded []byte) ([]byte, error) {
+		return p.replica.ProposeInTerm(ctx, term, encoded)
+	})
+}
+
+// proposeBy encodes a command and has it committed by the given method of the replica.
+func (p *partition) proposeBy(
+	ctx context.Context, command *batch.Command, propose func(context.Context, []byte) ([]byte, error),
+) (batch.Outcome, error) {
 	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
 	defer cancel()
 	requested := time.Now()
@@ -70,7 +91,7 @@
 		return 0, fault.Wrap(fault.NotReady, err)
 	}
 	epoch := p.replica.View().Epoch
-	result, err := p.replica.Propose(ctx, encoded)
+	result, err := propose(ctx, encoded)
 	if err != nil {
 		return 0, err
 	}
--- a/internal/store/retry_queue_test.go
+++ b/internal/store/retry_queue_test.go
@@ -17,7 +17,7 @@
 // A tenant whose queued tokens are near their limit has further jobs refused, so its items are as urgent as old ones.
 func TestUrgencyIsByAgeAndByQueuedTokens(t *testing.T) {
 	f := newFixture(t, 1)
-	r := newRunner(f.config, f.partition)
+	r := newRunner(f.config, f.partition, testTerm)
 	full := testJob(testKey(1), 9, 1)
 	for i := range full.Items {
 		full.Items[i].Tokens = 60_000 // of 720,000 in all
@@ -119,7 +119,7 @@
 	if outcome, err := p.propose(context.Background(), command); outcome != batch.Done || err != nil {
 		f.t.Fatal(outcome, err)
 	}
-	r := newRunner(f.config, p)
+	r := newRunner(f.config, p, testTerm)
 	r.updateSchedule(time.Now())
 	r.reviewJobs(context.Background(), time.Now())
 	return r
--- a/internal/store/runner.go
+++ b/internal/store/runner.go
@@ -21,7 +21,7 @@
 	minSleep = time.Millisecond
 )
 
-// runner runs the items of a partition while this store is its head: it drives a scheduler.Schedule, and owns the attempts.
+// runner runs the items of a partition in one term, in which this store is the head without interruption: it drives a scheduler.Schedule, and owns the attempts.
 //
 // Goroutines: hostedPartition starts run and waits for its end. run starts one goroutine for each attempt, which calls
 // attemptEnded as its last step and may outlive run shortly; their contexts end with that of run. The appender has a goroutine
@@ -40,11 +40,12 @@
 	lastDrop time.Time   // when closed jobs were dropped last
 }
 
-func newRunner(config *runnerConfig, p *partition) *runner {
+// newRunner makes the runner of a term. It must run only after the runners of former terms have ended.
+func newRunner(config *runnerConfig, p *partition, term uint64) *runner {
 	return &runner{
 		config:    config,
 		partition: p,
-		appender:  &appender{partition: p, log: config.log},
+		appender:  &appender{partition: p, term: term, log: config.log},
 		wake:      make(chan struct{}, 1),
 		schedule:  scheduler.NewSchedule(),
 		running:   map[*scheduler.Item]*attempt{},
--- a/internal/store/stats_test.go
+++ b/internal/store/stats_test.go
@@ -7,7 +7,7 @@
 
 func TestStatsCountItemsByRoute(t *testing.T) {
 	f := newFixture(t, 1)
-	r := newRunner(f.config, f.partition)
+	r := newRunner(f.config, f.partition, testTerm)
 	late, other := testJob(testKey(1), 3, 1), testJob(testKey(2), 4, 1)
 	f.submit(late)
 	f.submit(other)
