member: a leave ends once, and a verified death updates the digest

Cause: acks after the last announcement ended the leave again, and its service closed a closed channel. verifyDeath raised an incarnation beside setState, so the digest stayed that of the old one and whole lists were exchanged for nothing. Change: completeLeave does nothing the second time; the incarnation goes in by setState.

--- a/internal/member/antientropy.go
+++ b/internal/member/antientropy.go
@@ -164,8 +164,9 @@
 	if known.member.State != Alive || !theirs.supersedes(known.member.assertion()) {
 		return
 	}
-	m.suspect(now, known)
-	known.member.Incarnation = theirs.incarnation
+	suspected := theirs
+	suspected.state = Suspect
+	m.setState(now, known, suspected)
 	m.ping(known.member.Address)
 }
 
--- a/internal/member/leave.go
+++ b/internal/member/leave.go
@@ -22,6 +22,7 @@
 	remainingAcks int
 	triesLeft     int
 	deadline      time.Duration
+	completed     bool
 }
 
 // leave announces the end of this process. From here on it takes no part in the protocol.
@@ -58,7 +59,12 @@
 	}
 }
 
+// completeLeave ends the announcements. It is output once: acks may still come after the last try.
 func (m *membership) completeLeave() {
+	if m.leaver.completed {
+		return
+	}
+	m.leaver.completed = true
 	m.leaver.deadline = never
 	m.output.left = true
 }
