control: a stopped server closes its listener though it never ran

Cause: Control.Stop without Start left the operator's listener open, and a test closed it itself. Change: api.stop closes it. The test now demands that it is closed, which is stricter than closing it.

--- a/internal/control/api.go
+++ b/internal/control/api.go
@@ -36,8 +36,9 @@
 	service *service // nil at a node without a replica
 	status  func() controlapi.Status
 	// other returns the operator's address of a node with a replica, and whether one is known.
-	other  func() (netip.AddrPort, bool)
-	server *server.Hertz
+	other    func() (netip.AddrPort, bool)
+	server   *server.Hertz
+	listener net.Listener
 }
 
 // disableLibraryLog keeps the HTTP library's own messages out of the log.
@@ -46,7 +47,7 @@
 // newAPI returns a server on a listener that is open already. It closes the listener when it stops.
 func newAPI(listener net.Listener, s *service, status func() controlapi.Status, other func() (netip.AddrPort, bool)) *api {
 	disableLibraryLog()
-	a := &api{service: s, status: status, other: other}
+	a := &api{service: s, status: status, other: other, listener: listener}
 	a.server = server.New(
 		server.WithListener(listener),
 		server.WithMaxRequestBodySize(maxBodyBytes),
@@ -95,11 +96,13 @@
 // run serves until stop is called.
 func (a *api) run() error { return a.server.Run() }
 
-// stop waits for the calls in progress, up to a timeout.
+// stop waits for the calls in progress, up to a timeout, and closes the listener, which the server does not do if it never
+// ran.
 func (a *api) stop() {
 	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
 	defer cancel()
 	_ = a.server.Shutdown(ctx) // calls that are cut off are repeated elsewhere by their callers
+	_ = a.listener.Close()     // closed already if the server ran
 }
 
 // isServerClosed reports whether the error of a server means that it was stopped.
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -90,6 +90,23 @@
 	}
 }
 
+// The listener is open from the beginning: a server that is stopped without having run closes it too.
+func TestStoppedServerThatNeverRanClosesItsListener(t *testing.T) {
+	listener, err := listen(t.Context(), netip.MustParseAddrPort("127.0.0.1:0"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	a := newAPI(listener, nil, nil, nil)
+	a.stop()
+	again, err := listen(t.Context(), netip.MustParseAddrPort(listener.Addr().String()))
+	if err != nil {
+		t.Fatalf("listen at the address of the stopped server: %v", err)
+	}
+	if err := again.Close(); err != nil {
+		t.Error(err)
+	}
+}
+
 // TestLargeChangeOverTheChain sends a configuration of a megabyte to a node that is not the head.
 func TestLargeChangeOverTheChain(t *testing.T) {
 	s := newControlSystem(t)
--- a/internal/control/stored_data_test.go
+++ b/internal/control/stored_data_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io/fs"
+	"net"
 	"net/netip"
 	"os"
 	"path"
@@ -88,8 +89,9 @@
 	if s.control.stop != nil {
 		s.control.stop()
 		s.control.goroutines.Wait()
-	} else if err := s.control.listener.Close(); err != nil {
-		s.t.Errorf("close listener: %v", err)
+	}
+	if err := s.control.listener.Close(); !errors.Is(err, net.ErrClosed) {
+		s.t.Errorf("listener after the stop: got %v, want %v", err, net.ErrClosed)
 	}
 	s.control.node.Close()
 	s.transport.Close()
