discovery: a listing without an end counts its pages

Cause: Platform.Read said 0 pages for a listing over the greatest number of pages, so these calls were not counted against the rate. Result: the new test fails without the change.

--- a/internal/discovery/platform.go
+++ b/internal/discovery/platform.go
@@ -117,7 +117,7 @@
 		}
 		token = *answer.NextToken
 	}
-	return Listing{}, merry.Errorf("the platform's listing has more than %d pages", maxPages)
+	return Listing{Pages: maxPages}, merry.Errorf("the platform's listing has more than %d pages", maxPages)
 }
 
 // sortedByID sorts entries and drops repeated ones, which a listing that changes between pages may have. The later
--- a/internal/discovery/platform_test.go
+++ b/internal/discovery/platform_test.go
@@ -127,3 +127,19 @@
 		t.Errorf("%d pages: got pauses of %v, too short for a rate of %v", pages, paused, testRate)
 	}
 }
+
+// A listing without an end is given up, and all of its pages count as calls.
+func TestReadGivesUpAListingWithoutAnEnd(t *testing.T) {
+	entries := make([]instance, 2*(maxPages+1))
+	for i := range entries {
+		entries[i] = instance{Identifier: "i-" + strconv.Itoa(i), Address: netip.MustParseAddrPort("10.0.0.1:80")}
+	}
+	platform, calls := fakePlatform(t, entries, noFailure)
+	listing, err := platform.Read(t.Context(), true, ignorePage)
+	if err == nil || listing.List != nil {
+		t.Errorf("Read: got %+v, error %v; want no list and an error", listing.List, err)
+	}
+	if int64(listing.Pages) != calls.Load() || listing.Pages != maxPages {
+		t.Errorf("pages: got %d by %d calls, want %d", listing.Pages, calls.Load(), maxPages)
+	}
+}
