--- a/internal/chain/node.go
+++ b/internal/chain/node.go
@@ -1,6 +1,7 @@
 package chain
 
 import (
+	"errors"
 	"net/netip"
 	"path"
 	"sync"
@@ -64,6 +65,18 @@
 	if err != nil {
 		return nil, merry.Prependf(err, "log of chain %d", options.Chain)
 	}
+	n, err := openNode(options, record, log, recovered)
+	if err != nil {
+		return nil, errors.Join(err, log.Close())
+	}
+	n.disk.start()
+	n.applier.start()
+	n.step(func(time.Duration) {})
+	return n, nil
+}
+
+// openNode restores the state machine, and registers a node at the dispatcher that is not started yet.
+func openNode(options Options, record Record, log *segment.Log, recovered segment.Recovered) (*Node, error) {
 	state := Recovered{Record: record, Entries: recovered.Entries}
 	if recovered.Snapshot != nil {
 		state.Snapshot = *recovered.Snapshot
@@ -87,9 +100,6 @@
 	if err := options.Dispatcher.add(n); err != nil {
 		return nil, err
 	}
-	n.disk.start()
-	n.applier.start()
-	n.step(func(time.Duration) {})
 	return n, nil
 }
 
--- a/internal/chain/node_test.go
+++ b/internal/chain/node_test.go
@@ -1,10 +1,17 @@
 package chain
 
 import (
+	"net/netip"
+	"path"
+	"sync/atomic"
 	"testing"
 
+	"go.uber.org/zap"
+
 	"nickelline/internal/fault"
+	"nickelline/internal/peer"
 	"nickelline/internal/segment"
+	"nickelline/internal/view"
 )
 
 func TestFirstStartAndProposalsAtEachReplica(t *testing.T) {
@@ -61,3 +68,87 @@
 		t.Fatalf("sum: got %d, want 9", got)
 	}
 }
+
+// openFiles counts the files that are open.
+type openFiles struct {
+	segment.FileSystem
+	count atomic.Int64
+}
+
+// countedFile is a file that its openFiles counts until it is closed.
+type countedFile struct {
+	segment.File
+	files *openFiles
+}
+
+func (o *openFiles) counted(file segment.File, err error) (segment.File, error) {
+	if err != nil {
+		return nil, err
+	}
+	o.count.Add(1)
+	return &countedFile{File: file, files: o}, nil
+}
+
+func (o *openFiles) Create(path string) (segment.File, error) {
+	return o.counted(o.FileSystem.Create(path))
+}
+
+func (o *openFiles) OpenAppend(path string) (segment.File, error) {
+	return o.counted(o.FileSystem.OpenAppend(path))
+}
+
+func (f *countedFile) Close() error {
+	f.files.count.Add(-1)
+	return f.File.Close()
+}
+
+// A chain that cannot be opened, since it is open already, leaves none of its files open.
+func TestFailedOpenClosesTheLog(t *testing.T) {
+	transport, err := peer.Listen(netip.MustParseAddrPort("127.0.0.1:0"), zap.NewNop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer transport.Close()
+	dispatcher := NewDispatcher(transport, zap.NewNop())
+	files := &openFiles{FileSystem: segment.OperatingSystem{}}
+	open := func(directory string) (*Node, error) {
+		return Open(Options{
+			Self:            view.Member{Replica: 1, Address: transport.Address()},
+			Dispatcher:      dispatcher,
+			FileSystem:      files,
+			Directory:       directory,
+			StateMachine:    &sum{},
+			MinimumReplicas: 1,
+		})
+	}
+	first, err := open(t.TempDir())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer first.Close()
+	directory := t.TempDir()
+	writeLog(t, path.Join(directory, LogDirectory))
+	if second, err := open(directory); err == nil {
+		second.Close()
+		t.Fatal("open a chain that is open already: got no error")
+	}
+	first.Close()
+	if got := files.count.Load(); got != 0 {
+		t.Errorf("files open after both: got %d, want 0", got)
+	}
+}
+
+// writeLog writes a log with one entry.
+func writeLog(t *testing.T, directory string) {
+	t.Helper()
+	log, _, err := segment.Open(segment.OperatingSystem{}, directory, segment.Options{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := log.Append(segment.Entry{Epoch: 1, Sequence: 1, Data: number(1)}); err != nil {
+		t.Fatal(err)
+	}
+	if err := log.Close(); err != nil {
+		t.Fatal(err)
+	}
+}
