nodestate: notifications hold no lock of the pools

Cause: functions given to OnBackends and OnPlacement ran under the lock of the pools; one that asked for a pool would have waited for ever. Change: a lock of their own keeps their order. Result: the new test fails without it.

--- a/internal/nodestate/nodestate.go
+++ b/internal/nodestate/nodestate.go
@@ -45,10 +45,12 @@
 	backends      atomic.Pointer[discovery.List]
 	placement     atomic.Pointer[placement.Table]
 
-	mu          sync.Mutex // of the changes below
-	pools       map[string]*admission.Pool
-	onBackends  []func(*discovery.List)
-	onPlacement []func(*placement.Table)
+	mu    sync.Mutex // of the pools
+	pools map[string]*admission.Pool
+
+	notifications sync.Mutex // of the functions below, which run one at a time, and of the order of versions
+	onBackends    []func(*discovery.List)
+	onPlacement   []func(*placement.Table)
 }
 
 // New makes the state and subscribes it to its source.
@@ -75,20 +77,21 @@
 }
 
 // OnBackends adds a function that is called with each new list of backends, after the pools have it, and at once with the
-// one that there is. It runs under the lock of the state: it must not call Pool, Pools, OnBackends or OnPlacement.
+// one that there is, one call at a time. It must not call OnBackends or OnPlacement.
 func (s *State) OnBackends(notify func(*discovery.List)) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
+	s.notifications.Lock()
+	defer s.notifications.Unlock()
 	s.onBackends = append(s.onBackends, notify)
 	if list := s.backends.Load(); list != nil {
 		notify(list)
 	}
 }
 
-// OnPlacement adds a function that is called with each new placement, and at once with the one that there is.
+// OnPlacement adds a function that is called with each new placement, and at once with the one that there is, one call at a
+// time. It must not call OnBackends or OnPlacement.
 func (s *State) OnPlacement(notify func(*placement.Table)) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
+	s.notifications.Lock()
+	defer s.notifications.Unlock()
 	s.onPlacement = append(s.onPlacement, notify)
 	if table := s.placement.Load(); table != nil {
 		notify(table)
@@ -142,8 +145,6 @@
 		s.logInvalid("configuration", v, err)
 		return
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
 	s.configuration.Store(snapshot)
 	s.fillAll()
 }
@@ -154,8 +155,8 @@
 		s.logInvalid("list of backends", v, err)
 		return
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
+	s.notifications.Lock()
+	defer s.notifications.Unlock()
 	s.backends.Store(list)
 	s.fillAll()
 	for _, notify := range s.onBackends {
@@ -169,8 +170,8 @@
 		s.logInvalid("placement", v, err)
 		return
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
+	s.notifications.Lock()
+	defer s.notifications.Unlock()
 	s.placement.Store(&table)
 	for _, notify := range s.onPlacement {
 		notify(&table)
@@ -183,7 +184,10 @@
 		zap.Error(err))
 }
 
+// fillAll brings all pools up to date with the list of backends and the configuration.
 func (s *State) fillAll() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	for service, pool := range s.pools {
 		s.fill(service, pool)
 	}
--- /dev/null
+++ b/internal/nodestate/nodestate_test.go
@@ -0,0 +1,51 @@
+package nodestate
+
+import (
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"nickelline/internal/admission"
+	"nickelline/internal/discovery"
+	"nickelline/internal/gossip"
+	"nickelline/internal/placement"
+)
+
+// fakeSource keeps the functions that a State subscribes, by topic.
+type fakeSource map[gossip.Topic]func(gossip.Value)
+
+func (f fakeSource) Subscribe(topic gossip.Topic, notify func(gossip.Value)) { f[topic] = notify }
+
+func (f fakeSource) ProofAge(gossip.Topic) time.Duration { return 0 }
+
+// What is notified of a list of backends or of a placement may ask for pools: a notification holds no lock of theirs.
+func TestNotifiedMayAskForPools(t *testing.T) {
+	source := fakeSource{}
+	state := New(Options{Node: "n", Zone: "z", Source: source, Log: zap.NewNop()})
+	var pools []*admission.Pool
+	state.OnBackends(func(*discovery.List) { pools = append(pools, state.Pool("writers")) })
+	state.OnPlacement(func(*placement.Table) { pools = append(pools, state.Pools()["writers"]) })
+	list, err := discovery.Encode(discovery.NewList(nil))
+	if err != nil {
+		t.Fatal(err)
+	}
+	table, err := placement.Encode(placement.Table{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		source[gossip.Backends](gossip.Value{Data: list})
+		source[gossip.Placement](gossip.Value{Data: table})
+	}()
+	select {
+	case <-done:
+	case <-time.After(10 * time.Second):
+		t.Fatal("a notification that asks for a pool waits for ever")
+	}
+	if len(pools) != 2 || pools[0] == nil || pools[0] != pools[1] {
+		t.Errorf("pools in notifications: got %v, want the same one twice", pools)
+	}
+}
