quota: a new allocator begins with reserves that the former one has kept

Cause: all bucket levels were in the memory of the allocator, so that a new one began with empty buckets. A trace of all decisions (trial) showed that the grace period was over 0.07 s after the allocator had started: the grace period was not the cause, the empty buckets were.

The first change of an allocator, which fences off former ones, takes over all reserves. Refusals for want of an answer or a settled state are 503, not 429.

--- a/cmd/nickelline/control.go
+++ b/cmd/nickelline/control.go
@@ -153,12 +153,15 @@
 		ExpectedRevision: c.ExpectedRevision,
 		Add:              leaseholdersOf(c.Add),
 		Remove:           leaseholdersOf(c.Remove),
+		SpendAll:         c.SpendAll,
+		Keep:             c.Keep,
+		Spend:            c.Spend,
 	})
 	return registryStateOf(set), err
 }
 
 func registryStateOf(set control.LeaseholderSet) quota.RegistryState {
-	state := quota.RegistryState{Revision: set.Revision}
+	state := quota.RegistryState{Epoch: set.Epoch, Revision: set.Revision, Reserves: set.Reserves}
 	for _, member := range set.Members {
 		state.Leaseholders = append(state.Leaseholders, quota.Leaseholder(member))
 	}
--- a/internal/control/apply_leaseholders.go
+++ b/internal/control/apply_leaseholders.go
@@ -31,7 +31,23 @@
 	for _, added := range change.Add {
 		members = insertLeaseholder(members, added)
 	}
-	return LeaseholderSet{Epoch: change.Epoch, Revision: s.Revision + 1, Members: members}
+	return LeaseholderSet{Epoch: change.Epoch, Revision: s.Revision + 1, Members: members, Reserves: s.changedReserves(change)}
+}
+
+// changedReserves returns the tenants whose reserves are kept after a change.
+func (s *LeaseholderSet) changedReserves(change *ChangeLeaseholders) []string {
+	var reserves []string
+	if !change.SpendAll {
+		reserves = slices.DeleteFunc(slices.Clone(s.Reserves), func(tenant string) bool {
+			return slices.Contains(change.Spend, tenant)
+		})
+	}
+	for _, tenant := range change.Keep {
+		if i, found := slices.BinarySearch(reserves, tenant); !found {
+			reserves = slices.Insert(reserves, i, tenant)
+		}
+	}
+	return reserves
 }
 
 // insertLeaseholder inserts a leaseholder into a sorted list, in place of one with the same address.
--- a/internal/control/command.go
+++ b/internal/control/command.go
@@ -70,6 +70,10 @@
 	Add []Leaseholder
 	// Remove holds the processes that hold no lease any more.
 	Remove []Leaseholder
+	// SpendAll records the reserves of all tenants as spent. Then those of Spend are recorded as spent, and those of Keep as
+	// kept.
+	SpendAll    bool
+	Keep, Spend []string
 }
 
 // Leaseholder is a proxy process, which may hold quota leases. Generation distinguishes it from others at its address.
--- a/internal/control/controlwire/control.capnp
+++ b/internal/control/controlwire/control.capnp
@@ -45,12 +45,20 @@
   expectedRevision @1 :UInt64;
   add @2 :List(Holder);
   remove @3 :List(Holder);
+  keep @4 :List(Text);
+  # Tenants whose reserves are recorded as kept.
+  spend @5 :List(Text);
+  # Tenants whose reserves are recorded as spent.
+  spendAll @6 :Bool;
+  # All reserves are recorded as spent.
 }
 
 struct HolderSet {
   epoch @0 :UInt64;
   revision @1 :UInt64;
   members @2 :List(Holder);
+  reserves @3 :List(Text);
+  # Tenants whose reserves are kept.
 }
 
 struct Command {
--- a/internal/control/golden_test.go
+++ b/internal/control/golden_test.go
@@ -48,6 +48,13 @@
 			Add:              []Leaseholder{goldenAdded},
 			Remove:           []Leaseholder{goldenRemoved},
 		}}},
+		{"command_reserves", Command{ChangeLeaseholders: &ChangeLeaseholders{
+			Epoch:            53,
+			ExpectedRevision: 54,
+			SpendAll:         true,
+			Keep:             []string{"kept", "kept too"},
+			Spend:            []string{"spent"},
+		}}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			golden.RoundTrip(t, c.name+".hex", &c.command, EncodeCommand, DecodeCommand)
@@ -111,6 +118,28 @@
 	goldenLateOrder = Configure{Match: 99, Body: []byte(documentText(100, 83))}
 )
 
+// goldenReserves are the reserves that the golden snapshot has as kept.
+var goldenReserves = []string{"kept", "kept too"}
+
+// Commands and snapshots of versions that knew no reserves are read as having none.
+func TestFormsWithoutReservesAreRead(t *testing.T) {
+	command, err := DecodeCommand(golden.ReadBytes(t, "command_holders_without_reserves.hex"))
+	want := &Command{ChangeLeaseholders: &ChangeLeaseholders{
+		Epoch:            51,
+		ExpectedRevision: 52,
+		Add:              []Leaseholder{goldenAdded},
+		Remove:           []Leaseholder{goldenRemoved},
+	}}
+	if err != nil || !reflect.DeepEqual(command, want) {
+		t.Errorf("command: got %+v, error %v; want %+v", command, err, want)
+	}
+	restored := NewMachine()
+	if err := restored.Restore(golden.ReadBytes(t, "snapshot_without_reserves.hex")); err != nil {
+		t.Fatalf("restore: %v", err)
+	}
+	checkGoldenState(t, restored.State(), nil)
+}
+
 // goldenMachine holds something of each kind that a snapshot contains.
 func goldenMachine(t *testing.T) *Machine {
 	t.Helper()
@@ -121,7 +150,11 @@
 	applyAndCheck(t, m, &Command{CompleteRetirement: &CompleteRetirement{Store: goldenStore, CurrentReplica: 0x6162636465666768}}, Accepted)
 	applyAndCheck(t, m, &Command{Retire: &Retire{Store: goldenStores[0], Duration: 5678 * time.Millisecond}}, Accepted)
 	applyAndCheck(t, m, &Command{ReplacePlacement: &ReplacePlacement{ExpectedRevision: 3, Table: []byte("placement table")}}, Accepted)
-	applyAndCheck(t, m, &Command{ChangeLeaseholders: &ChangeLeaseholders{Epoch: 51, Add: []Leaseholder{goldenAdded, goldenRemoved}}}, Accepted)
+	applyAndCheck(t, m, &Command{ChangeLeaseholders: &ChangeLeaseholders{
+		Epoch: 51,
+		Add:   []Leaseholder{goldenAdded, goldenRemoved},
+		Keep:  goldenReserves,
+	}}, Accepted)
 	return m
 }
 
@@ -132,7 +165,7 @@
 		t.Fatalf("restore: %v", err)
 	}
 	golden.Bytes(t, "snapshot.hex", restored.Snapshot())
-	checkGoldenState(t, restored.State())
+	checkGoldenState(t, restored.State(), goldenReserves)
 	if !restored.HasAccepted(goldenOrder.Digest()) {
 		t.Error("the accepted order is not remembered")
 	}
@@ -141,7 +174,7 @@
 	}
 }
 
-func checkGoldenState(t *testing.T, state *State) {
+func checkGoldenState(t *testing.T, state *State, wantReserves []string) {
 	t.Helper()
 	if got := state.Version(); got != 81 {
 		t.Errorf("got configuration version %d, want 81", got)
@@ -157,7 +190,12 @@
 	if state.RetirementRevision != 3 || state.PlacementVersion != 1 || string(state.Placement) != "placement table" {
 		t.Errorf("got revision %d, placement %d %q", state.RetirementRevision, state.PlacementVersion, state.Placement)
 	}
-	wantHolders := LeaseholderSet{Epoch: 51, Revision: 1, Members: []Leaseholder{goldenAdded, goldenRemoved}}
+	wantHolders := LeaseholderSet{
+		Epoch:    51,
+		Revision: 1,
+		Members:  []Leaseholder{goldenAdded, goldenRemoved},
+		Reserves: wantReserves,
+	}
 	if !reflect.DeepEqual(state.Leaseholders, wantHolders) {
 		t.Errorf("got %+v, want %+v", state.Leaseholders, wantHolders)
 	}
--- a/internal/control/leaseholders_codec.go
+++ b/internal/control/leaseholders_codec.go
@@ -2,8 +2,11 @@
 
 import (
 	"encoding/binary"
+	"errors"
 	"net/netip"
 
+	"capnproto.org/go/capnp/v3"
+
 	"nickelline/internal/capnpcodec"
 	"nickelline/internal/control/controlwire"
 )
@@ -15,10 +18,13 @@
 	}
 	target.SetEpoch(command.Epoch)
 	target.SetExpectedRevision(command.ExpectedRevision)
-	if err := fillLeaseholders(command.Add, target.NewAdd); err != nil {
-		return err
-	}
-	return fillLeaseholders(command.Remove, target.NewRemove)
+	target.SetSpendAll(command.SpendAll)
+	return errors.Join(
+		fillLeaseholders(command.Add, target.NewAdd),
+		fillLeaseholders(command.Remove, target.NewRemove),
+		fillNames(command.Keep, target.NewKeep),
+		fillNames(command.Spend, target.NewSpend),
+	)
 }
 
 func fillLeaseholderSet(root controlwire.State, set *LeaseholderSet) error {
@@ -28,7 +34,42 @@
 	}
 	target.SetEpoch(set.Epoch)
 	target.SetRevision(set.Revision)
-	return fillLeaseholders(set.Members, target.NewMembers)
+	return errors.Join(fillLeaseholders(set.Members, target.NewMembers), fillNames(set.Reserves, target.NewReserves))
+}
+
+// fillNames writes a list of names, which is left out if it is empty.
+func fillNames(names []string, newList func(int32) (capnp.TextList, error)) error {
+	if len(names) == 0 {
+		return nil
+	}
+	list, err := newList(int32(len(names)))
+	if err != nil {
+		return err
+	}
+	for i, name := range names {
+		if err := list.Set(i, name); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func readNames(list capnp.TextList, err error) ([]string, error) {
+	if err != nil {
+		return nil, err
+	}
+	if err := capnpcodec.CheckLength(list); err != nil {
+		return nil, err
+	}
+	var names []string
+	for i := range list.Len() {
+		name, err := list.At(i)
+		if err != nil {
+			return nil, err
+		}
+		names = append(names, name)
+	}
+	return names, nil
 }
 
 func fillLeaseholders(leaseholders []Leaseholder, newList func(int32) (controlwire.Holder_List, error)) error {
@@ -57,6 +98,13 @@
 	if command.Remove, err = readLeaseholders(source.Remove()); err != nil {
 		return nil, err
 	}
+	command.SpendAll = source.SpendAll()
+	if command.Keep, err = readNames(source.Keep()); err != nil {
+		return nil, err
+	}
+	if command.Spend, err = readNames(source.Spend()); err != nil {
+		return nil, err
+	}
 	return &Command{ChangeLeaseholders: command}, nil
 }
 
@@ -65,8 +113,12 @@
 	if err != nil {
 		return LeaseholderSet{}, err
 	}
-	members, err := readLeaseholders(source.Members())
-	return LeaseholderSet{Epoch: source.Epoch(), Revision: source.Revision(), Members: members}, err
+	set := LeaseholderSet{Epoch: source.Epoch(), Revision: source.Revision()}
+	if set.Members, err = readLeaseholders(source.Members()); err != nil {
+		return LeaseholderSet{}, err
+	}
+	set.Reserves, err = readNames(source.Reserves())
+	return set, err
 }
 
 func readLeaseholders(list controlwire.Holder_List, err error) ([]Leaseholder, error) {
--- a/internal/control/leaseholders_test.go
+++ b/internal/control/leaseholders_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/netip"
 	"reflect"
+	"slices"
 	"testing"
 
 	"nickelline/internal/fault"
@@ -89,3 +90,21 @@
 	_, err = c.ChangeLeaseholders(t.Context(), &ChangeLeaseholders{Epoch: 1, ExpectedRevision: 1})
 	checkKind(t, err, fault.Unclear)
 }
+
+func TestReservesAreKeptAndSpent(t *testing.T) {
+	m := NewMachine()
+	change := func(revision uint64, spendAll bool, keep, spend []string, want ...string) {
+		t.Helper()
+		applyAndCheck(t, m, &Command{ChangeLeaseholders: &ChangeLeaseholders{
+			Epoch: 1, ExpectedRevision: revision, SpendAll: spendAll, Keep: keep, Spend: spend,
+		}}, Accepted)
+		if got := m.State().Leaseholders.Reserves; !slices.Equal(got, want) {
+			t.Errorf("revision %d: got reserves %v, want %v", revision, got, want)
+		}
+	}
+	change(0, false, []string{"c", "a"}, nil, "a", "c")
+	change(1, false, []string{"b", "a"}, []string{"c", "unknown"}, "a", "b")
+	change(2, false, nil, nil, "a", "b")
+	change(3, true, []string{"d"}, nil, "d")
+	change(4, true, nil, nil)
+}
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -39,6 +39,8 @@
 	Epoch, Revision uint64
 	// Members are sorted by their addresses, one for each address.
 	Members []Leaseholder
+	// Reserves are the tenants whose quota reserves are kept for the next allocator, sorted.
+	Reserves []string
 }
 
 // Version returns the version of the configuration, 0 before the first.
--- a/internal/golden/golden.go
+++ b/internal/golden/golden.go
@@ -59,6 +59,12 @@
 	return content
 }
 
+// ReadBytes returns the bytes that the named file below testdata has in hexadecimal: a form that is read, and written no more.
+func ReadBytes(t *testing.T, name string) []byte {
+	t.Helper()
+	return parseHex(t, name, Read(t, name))
+}
+
 // Updating reports whether the test was asked to write its golden files anew.
 func Updating() bool { return *update }
 
--- a/internal/quota/account.go
+++ b/internal/quota/account.go
@@ -19,7 +19,7 @@
 func (a *Allocator) accountOf(now time.Time, tenant string, limit Limit) *tenantAccount {
 	account := a.tenants[tenant]
 	if account == nil {
-		account = &tenantAccount{filledAt: now}
+		account = &tenantAccount{filledAt: now, tokens: a.initialTokens(tenant, limit)}
 		if a.graceEnded(now) {
 			account.filledAt = a.graceEndsAt
 		}
@@ -116,11 +116,8 @@
 	return given
 }
 
-// retryAfter returns when the bucket is expected to hold enough for the requests that got nothing, 0 if there are none.
+// retryAfter returns when the bucket is expected to hold enough for a number of requests that got nothing.
 func (a *Allocator) retryAfter(now time.Time, account *tenantAccount, limit Limit, short int) time.Duration {
-	if short <= 0 {
-		return 0
-	}
 	rate := a.free(now, account, limit).Rate
 	if !a.graceEnded(now) {
 		return graceRetryAfter
--- a/internal/quota/activation.go
+++ b/internal/quota/activation.go
@@ -77,9 +77,10 @@
 
 // startAllocator starts the allocator of an epoch, after the change of the registry that fences off former allocators.
 // The caller holds the mutex.
-func (s *Service) startAllocator(now time.Time, epoch uint64, registered []Leaseholder) {
-	s.log.Info("quota allocator started", zap.Uint64("epoch", epoch), zap.Int("leaseholders", len(registered)))
-	s.allocator = NewAllocator(s.policy, s.limits, registered, now)
+func (s *Service) startAllocator(now time.Time, epoch uint64, registered []Leaseholder, reserves []string) {
+	s.log.Info("quota allocator started", zap.Uint64("epoch", epoch), zap.Int("leaseholders", len(registered)),
+		zap.Int("reserves", len(reserves)))
+	s.allocator = NewAllocator(s.policy, s.limits, registered, reserves, now)
 	s.allocator.isDown = s.isDown
 	s.epoch = epoch
 	s.announce(now, s.allocator)
--- a/internal/quota/allocator.go
+++ b/internal/quota/allocator.go
@@ -33,6 +33,7 @@
 	sweepAt      time.Time                 // when sweep looks for expired leases next
 	tenants      map[string]*tenantAccount // by name
 	leaseholders map[netip.AddrPort]*leaseholderRecord
+	reserves     reserveBook
 	unreclaimed  int  // leaseholders that have still to reclaim their leases
 	removable    bool // TakeRemovable may have something to return
 	// isDown reports whether the process at an address is known not to run; nil: it is never known.
@@ -41,8 +42,11 @@
 
 // NewAllocator returns the allocator of a node that has become head. The registered processes may hold leases of former
 // allocators, which cannot register others any more. The grace period lasts until they have reclaimed their leases, or
-// all of these have expired.
-func NewAllocator(p Policy, limits func(tenant string) Limit, registered []Leaseholder, now time.Time) *Allocator {
+// all of these have expired. The reserves are those of the tenants that the registry had as kept before the change that has
+// recorded all of them as spent.
+func NewAllocator(
+	p Policy, limits func(tenant string) Limit, registered []Leaseholder, reserves []string, now time.Time,
+) *Allocator {
 	a := &Allocator{
 		policy:       p,
 		limits:       limits,
@@ -50,6 +54,7 @@
 		sweepAt:      now.Add(sweepInterval),
 		tenants:      make(map[string]*tenantAccount),
 		leaseholders: make(map[netip.AddrPort]*leaseholderRecord),
+		reserves:     newReserveBook(reserves),
 		unreclaimed:  len(registered),
 	}
 	for _, registered := range registered {
@@ -100,7 +105,15 @@
 	lease.demand = entry.Demand
 	given := a.resize(now, account, lease, a.target(account, lease, limit), limit)
 	account.tokens += max(0, entry.Returned)
-	granted := min(entry.Need, int(account.tokens))
+	granted := min(entry.Need, a.grantable(account, entry.Tenant, limit))
 	account.tokens -= float64(granted)
-	return Grant{Lease: given, Granted: granted, RetryAfter: a.retryAfter(now, account, limit, entry.Need-granted)}
+	grant := Grant{Lease: given, Granted: granted}
+	switch short := entry.Need - granted; {
+	case short <= 0:
+	case a.waitsForReserve(now, account, entry.Tenant):
+		grant.RetryAfter, grant.Unsettled = reserveRetryAfter, true
+	default:
+		grant.RetryAfter, grant.Unsettled = a.retryAfter(now, account, limit, short), !a.graceEnded(now)
+	}
+	return grant
 }
--- a/internal/quota/bucket.go
+++ b/internal/quota/bucket.go
@@ -32,6 +32,7 @@
 	lastArrivalAt   time.Time
 	exhaustedUntil  time.Time // the allocator has nothing until then, by its last answer
 	nextGrantAt     time.Time // it may have something from then on
+	refusal         outcome   // of requests that wait in vain: exhausted if the last answer says so, or else unsettled
 }
 
 func newLeasedBuckets(p Policy) *leasedBuckets {
@@ -43,6 +44,7 @@
 	bucket := b.byTenant[tenant]
 	if bucket == nil {
 		bucket = &leasedBucket{filledAt: now, demandUpdatedAt: now, lastArrivalAt: now, demand: 1 / firstDemandSpan.Seconds()}
+		bucket.refusal = unsettled
 		b.byTenant[tenant] = bucket
 	}
 	bucket.fill(now)
@@ -96,6 +98,12 @@
 	return b.bucket(now, tenant).exhaustedUntil.Sub(now)
 }
 
+// refusalOf returns why a request gets no token that has waited in vain: by the last answer the tenant's rate is used up, or
+// that is not known.
+func (b *leasedBuckets) refusalOf(now time.Time, tenant string) outcome {
+	return b.bucket(now, tenant).refusal
+}
+
 // grantAfter returns when the allocator may have something for the tenant, by its last answer.
 func (b *leasedBuckets) grantAfter(now time.Time, tenant string) time.Duration {
 	return max(0, b.bucket(now, tenant).nextGrantAt.Sub(now))
@@ -174,6 +182,10 @@
 			bucket.exhaustedUntil = now.Add(min(grant.RetryAfter, maxExhaustedTime))
 			bucket.nextGrantAt = now.Add(grant.RetryAfter)
 		}
+		bucket.refusal = unsettled
+		if grant.Granted < entry.Need && !grant.Unsettled {
+			bucket.refusal = exhausted
+		}
 	}
 	return granted
 }
--- a/internal/quota/codec.go
+++ b/internal/quota/codec.go
@@ -90,6 +90,7 @@
 		root.SetMoved(answer.moved)
 		root.SetEpoch(answer.epoch)
 		root.SetUnheard(answer.mustReclaim)
+		root.SetUnsettled(answer.unsettled())
 		if answer.allocator.IsValid() {
 			if err := root.SetAllocator(capnpcodec.EncodeAddress(answer.allocator)); err != nil {
 				return err
@@ -124,7 +125,7 @@
 	if err != nil {
 		return nil, merry.Prepend(err, "decode quota answer")
 	}
-	grants, err := decodeGrants(root.Entries())
+	grants, err := decodeGrants(root.Unsettled(), root.Entries)
 	if err != nil {
 		return nil, merry.Prepend(err, "decode quota answer")
 	}
@@ -138,7 +139,9 @@
 	}, nil
 }
 
-func decodeGrants(list quotawire.AnswerEntry_List, err error) ([]Grant, error) {
+// decodeGrants reads the grants of an answer, of which it is known only as a whole whether some are unsettled.
+func decodeGrants(unsettled bool, entries func() (quotawire.AnswerEntry_List, error)) ([]Grant, error) {
+	list, err := entries()
 	if err != nil {
 		return nil, err
 	}
@@ -152,6 +155,7 @@
 			Lease:      Share{Rate: entry.Rate(), Depth: entry.Depth()},
 			Granted:    int(entry.Granted()),
 			RetryAfter: time.Duration(entry.RetryMs()) * time.Millisecond,
+			Unsettled:  unsettled,
 		}
 	}
 	return grants, nil
--- a/internal/quota/doc.go
+++ b/internal/quota/doc.go
@@ -14,7 +14,7 @@
 //   - A reduced share stays outstanding at the allocator until its leaseholder has confirmed the reduction by a renewal,
 //     or the lease has expired.
 //   - What a lease gives beyond its depth is returned to the allocator's bucket by the next renewal.
-//   - New buckets are empty.
+//   - New buckets are empty but for reserves, which no allocator before has granted.
 //
 // # What stops an old leaseholder
 //
@@ -38,6 +38,10 @@
 // registered process has presented all of its leases, or has been replaced by another process at its address, and at the
 // latest when the leases of the former allocator have expired: after Policy.Lease + HeadProofLifetime.
 //
+// Its buckets begin with the reserves that the former allocator has kept: a part of each bucket that is granted only after
+// the registry has it recorded as spent. As the first change of an allocator records all reserves as spent, each of them has
+// one owner. The new allocator may grant them within the grace period. docs/design/quota-reserves.md has the proof.
+//
 // # Goroutines
 //
 // The caller starts Limiter.Run and waits for it; it ends with its context, after which Limiter.Leave may release the
@@ -55,6 +59,7 @@
 //   - policy.go: limits, and the times and allowances of the rule
 //   - message.go, codec.go: what proxies and allocators send each other
 //   - allocator.go, account.go, leaseholders.go: sharing out, grace period, expiry
+//   - reserves.go: what is kept for the next allocator
 //   - registry.go, activation.go, service.go: the allocator at a control node
 //   - bucket.go: the token buckets of a proxy
 //   - limiter.go, take.go, waiting.go, renewal.go: the limiter of a proxy
--- a/internal/quota/leaseholders.go
+++ b/internal/quota/leaseholders.go
@@ -179,6 +179,7 @@
 		return
 	}
 	a.sweepAt = now.Add(sweepInterval)
+	a.reviewReserves(now)
 	a.removable = false
 	for address, leaseholder := range a.leaseholders {
 		for tenant, lease := range leaseholder.leases {
--- a/internal/quota/leave_test.go
+++ b/internal/quota/leave_test.go
@@ -32,7 +32,7 @@
 
 // A new allocator does not wait for a process that left during the grace period.
 func TestGraceDoesNotWaitForLeavingProxy(t *testing.T) {
-	a := NewAllocator(rulePolicy, oneLimit(testLimit), []Leaseholder{testLeaseholder}, testStart)
+	a := NewAllocator(rulePolicy, oneLimit(testLimit), []Leaseholder{testLeaseholder}, nil, testStart)
 	if _, err := a.Renew(after(0), testLeaseholder, &Renewal{Generation: 1, Sequence: 1, Complete: true, Leaving: true}); err != nil {
 		t.Fatal(err)
 	}
@@ -56,9 +56,7 @@
 	ctx, stop := context.WithCancel(t.Context())
 	var running sync.WaitGroup
 	running.Go(func() { limiter.Run(ctx) })
-	if err := limiter.Take(t.Context(), &configuration.Tenant{Name: "t", RatePerSecond: 100, Burst: 40}); err != nil {
-		t.Fatal(err)
-	}
+	takeOnce(t, limiter, &configuration.Tenant{Name: "t", RatePerSecond: 100, Burst: 40})
 	stop()
 	running.Wait()
 	if len(registry.Current().Leaseholders) != 1 {
--- a/internal/quota/limiter_test.go
+++ b/internal/quota/limiter_test.go
@@ -16,6 +16,9 @@
 	"nickelline/internal/fault"
 )
 
+// patience bounds what a test waits for.
+const patience = 20 * time.Second
+
 func startLimiter(t *testing.T, controls ...netip.AddrPort) *Limiter {
 	t.Helper()
 	transport := startTransport(t)
@@ -32,7 +35,6 @@
 // awaitAllocator returns once a limiter has found the allocator. On a busy machine that takes longer than one request waits.
 func awaitAllocator(t *testing.T, l *Limiter, tenant *configuration.Tenant) {
 	t.Helper()
-	const patience = 20 * time.Second
 	began := time.Now()
 	for fault.KindOf(l.Take(t.Context(), tenant)) == fault.NotReady {
 		if time.Since(began) > patience {
@@ -129,15 +131,43 @@
 	}
 }
 
-// takeOnce takes one request, which may have to be tried a few times.
+// takeOnce takes one request, which may have to be tried a few times: how long one of them waits is bounded, and on a busy
+// machine the allocator may answer later than that.
 func takeOnce(t *testing.T, l *Limiter, tenant *configuration.Tenant) {
 	t.Helper()
-	for range 100 {
-		if l.Take(t.Context(), tenant) == nil {
-			return
+	began := time.Now()
+	for l.Take(t.Context(), tenant) != nil {
+		if time.Since(began) > patience {
+			t.Fatal("no request is admitted")
+		}
+	}
+}
+
+// 429 is for tenants that have used up their rate. A request that the allocator cannot decide on yet, or does not answer in
+// time, is refused as not ready, with the time to come back.
+func TestRefusalsTellWhetherTheRateIsUsedUp(t *testing.T) {
+	tenant := &configuration.Tenant{Name: "t", RatePerSecond: 100}
+	for _, test := range []struct {
+		name  string
+		grant *Grant // of the last answer, nil if there was none
+		want  fault.Kind
+	}{
+		{"no answer yet", nil, fault.NotReady},
+		{"used up", &Grant{RetryAfter: time.Minute}, fault.QuotaExceeded},
+		{"not settled", &Grant{RetryAfter: time.Minute, Unsettled: true}, fault.NotReady},
+		{"granted, and the next call is not answered", &Grant{Granted: 1}, fault.NotReady},
+	} {
+		l := NewLimiter(rulePolicy, nil, nil, zap.NewNop()) // nobody answers
+		l.buckets.bucket(time.Now(), tenant.Name)
+		if test.grant != nil {
+			entries := l.buckets.renewalEntries(time.Now(), map[string]int{tenant.Name: 1}, true)
+			l.buckets.apply(time.Now(), time.Now(), entries, []Grant{*test.grant})
+		}
+		err := l.Take(WithMaxWait(t.Context(), time.Millisecond), tenant)
+		if fault.KindOf(err) != test.want || RetryAfter(err) <= 0 {
+			t.Errorf("%s: got error %v to be tried after %v, want %v and a time", test.name, err, RetryAfter(err), test.want)
 		}
 	}
-	t.Fatal("no request is admitted")
 }
 
 // waitUntilReclaimed waits until a limiter has presented its leases to an allocator.
--- a/internal/quota/message.go
+++ b/internal/quota/message.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
 	"nickelline/internal/peer"
@@ -45,6 +46,9 @@
 	Granted int
 	// RetryAfter is when more may be granted; 0: at once.
 	RetryAfter time.Duration
+	// Unsettled means that requests were not granted though the tenant may be under its limit: the allocator does not know
+	// all leases yet, or has still to record that it spends a reserve.
+	Unsettled bool
 }
 
 // renewalAnswer is the response of a control node to a Renewal: grants, or the address of the allocator.
@@ -55,3 +59,8 @@
 	epoch       uint64         // of the allocator that gives the grants
 	mustReclaim bool           // the allocator does not know all leases of the proxy
 }
+
+// unsettled reports whether any of the grants is unsettled.
+func (a *renewalAnswer) unsettled() bool {
+	return slices.ContainsFunc(a.grants, func(g Grant) bool { return g.Unsettled })
+}
--- a/internal/quota/quotawire/quota.capnp
+++ b/internal/quota/quotawire/quota.capnp
@@ -43,6 +43,8 @@
   # That of the allocator, if this node is the allocator.
   unheard @4 :Bool;
   # The allocator waits for a complete renewal of this process.
+  unsettled @5 :Bool;
+  # What was not granted may be under the limits: the allocator knows not all leases yet, or records that it spends a reserve.
 }
 
 # A new allocator tells a proxy of itself.
--- a/internal/quota/registry.go
+++ b/internal/quota/registry.go
@@ -19,8 +19,11 @@
 
 // RegistryState is the content of the registry at a revision.
 type RegistryState struct {
-	Revision     uint64
-	Leaseholders []Leaseholder
+	// Epoch is that of the allocator that made the latest change.
+	Epoch, Revision uint64
+	Leaseholders    []Leaseholder
+	// Reserves are the tenants whose reserves are kept.
+	Reserves []string
 }
 
 // RegistryChange is a change of the registry at a revision, made by the allocator of an epoch. Once an allocator has
@@ -30,6 +33,13 @@
 	// Add replaces former processes at the same addresses.
 	Add    []Leaseholder
 	Remove []Leaseholder
+	// SpendAll records all reserves as spent, before those of Keep are recorded as kept and those of Spend as spent.
+	SpendAll    bool
+	Keep, Spend []string
+}
+
+func (c *RegistryChange) isEmpty() bool {
+	return len(c.Add)+len(c.Remove)+len(c.Keep)+len(c.Spend) == 0 && !c.SpendAll
 }
 
 const (
@@ -45,6 +55,7 @@
 	running  bool
 	waiting  map[netip.AddrPort]uint64 // processes to register, by address
 	finished chan struct{}             // closed after the next change, and replaced
+	start    *inheritance              // of the latest change that was to start an allocator
 }
 
 // register adds a process to the next change. The returned channel is closed after that change. The caller holds the
@@ -91,8 +102,8 @@
 	}
 }
 
-// next returns the change to make, nil if none is due. The first one of an allocator is empty: it fences off former
-// allocators, and the allocator starts after it.
+// next returns the change to make, nil if none is due. The first one of an allocator fences off former allocators and takes
+// over the reserves, and the allocator starts after it.
 func (r *registryUpdater) next() *plannedChange {
 	s := r.service
 	s.mutex.Lock()
@@ -102,16 +113,20 @@
 		return nil
 	}
 	change := &plannedChange{}
+	current := r.registry.Current()
 	change.Epoch = s.headStatus.Epoch()
-	change.ExpectedRevision = r.registry.Current().Revision
+	change.ExpectedRevision = current.Revision
 	allocator := s.activeAllocator()
 	if allocator == nil {
+		r.start = inheritanceOf(r.start, change.Epoch, current)
 		change.startsAllocator = true
+		change.SpendAll = true
 		return change
 	}
 	change.Add = r.takeUnregistered(allocator)
 	change.Remove = allocator.TakeRemovable(time.Now())
-	if len(change.Add)+len(change.Remove) == 0 {
+	change.Keep, change.Spend = allocator.TakeReserveChanges()
+	if change.isEmpty() {
 		r.stop()
 		return nil
 	}
@@ -154,8 +169,9 @@
 	case err != nil:
 		s.log.Info("change quota registry failed", zap.Uint64("epoch", change.Epoch), zap.Error(err))
 	case change.startsAllocator:
-		s.startAllocator(time.Now(), change.Epoch, after.Leaseholders)
+		s.startAllocator(time.Now(), change.Epoch, after.Leaseholders, r.start.reserves)
 	case s.allocator != nil:
 		s.allocator.SetRegistered(time.Now(), after.Leaseholders)
+		s.allocator.SetReserves(after.Reserves)
 	}
 }
--- a/internal/quota/service.go
+++ b/internal/quota/service.go
@@ -105,7 +105,7 @@
 		return nil, s.updater.register(from), nil
 	}
 	grants, err := allocator.Renew(now, from, renewal)
-	if allocator.HasRemovable() {
+	if allocator.HasRemovable() || allocator.HasReserveChanges() {
 		s.updater.startUpdates()
 	}
 	return &renewalAnswer{epoch: s.epoch, mustReclaim: !allocator.HasReclaimed(from), grants: grants}, nil, err
--- a/internal/quota/service_test.go
+++ b/internal/quota/service_test.go
@@ -51,7 +51,9 @@
 		return RegistryState{}, fault.New(fault.VersionConflict, "revision %d", r.current.Revision)
 	}
 	r.epoch = change.Epoch
+	r.current.Epoch = change.Epoch
 	r.current.Revision++
+	r.current.Reserves = changedReserves(r.current.Reserves, change)
 	r.current.Leaseholders = changedMembers(r.current.Leaseholders, change)
 	return r.current, nil
 }
@@ -68,6 +70,17 @@
 	return append(changed, change.Add...)
 }
 
+// changedReserves applies a change to the reserves of a registry.
+func changedReserves(kept []string, change RegistryChange) []string {
+	var changed []string
+	for _, tenant := range kept {
+		if !change.SpendAll && !slices.Contains(change.Spend, tenant) && !slices.Contains(change.Keep, tenant) {
+			changed = append(changed, tenant)
+		}
+	}
+	return append(changed, change.Keep...)
+}
+
 func startTransport(t *testing.T) *peer.Transport {
 	t.Helper()
 	transport, err := peer.Listen(netip.MustParseAddrPort("127.0.0.1:0"), zap.NewNop())
--- a/internal/quota/simulation_head_test.go
+++ b/internal/quota/simulation_head_test.go
@@ -7,17 +7,20 @@
 
 // simulatedRegistry is the registry in the control state.
 type simulatedRegistry struct {
-	epoch   uint64
 	current RegistryState
 }
 
 // commit applies a change, and reports whether it was allowed.
 func (r *simulatedRegistry) commit(change RegistryChange) bool {
-	if change.Epoch < r.epoch || change.ExpectedRevision != r.current.Revision {
+	if change.Epoch < r.current.Epoch || change.ExpectedRevision != r.current.Revision {
 		return false
 	}
-	r.epoch = change.Epoch
-	r.current = RegistryState{Revision: r.current.Revision + 1, Leaseholders: changedMembers(r.current.Leaseholders, change)}
+	r.current = RegistryState{
+		Epoch:        change.Epoch,
+		Revision:     r.current.Revision + 1,
+		Leaseholders: changedMembers(r.current.Leaseholders, change),
+		Reserves:     changedReserves(r.current.Reserves, change),
+	}
 	return true
 }
 
@@ -29,6 +32,7 @@
 	stopped     bool
 	partitioned bool // from the other control nodes
 	changing    bool
+	start       *inheritance
 	waiting     map[netip.AddrPort]uint64
 	deferred    []func() // renewals that wait for a change
 }
@@ -90,7 +94,7 @@
 	if err != nil {
 		return
 	}
-	if h.allocator.HasRemovable() {
+	if h.allocator.HasRemovable() || h.allocator.HasReserveChanges() {
 		h.change()
 	}
 	reply(&renewalAnswer{epoch: h.epoch, mustReclaim: !h.allocator.HasReclaimed(from), grants: grants})
@@ -108,10 +112,14 @@
 	}
 	starts := h.allocator == nil
 	change := RegistryChange{Epoch: h.epoch, ExpectedRevision: h.s.registry.current.Revision}
-	if !starts {
+	if starts {
+		change.SpendAll = true
+		h.start = inheritanceOf(h.start, h.epoch, h.s.registry.current)
+	} else {
 		change.Add, change.Remove = h.changes()
+		change.Keep, change.Spend = h.allocator.TakeReserveChanges()
 	}
-	if !starts && len(change.Add)+len(change.Remove) == 0 {
+	if change.isEmpty() {
 		return
 	}
 	h.changing = true
@@ -144,10 +152,11 @@
 		h.s.clock.After(changePause, h.retry)
 		return
 	case starts:
-		h.allocator = NewAllocator(h.s.policy, h.s.limitOf, after.Leaseholders, h.s.now())
+		h.allocator = NewAllocator(h.s.policy, h.s.limitOf, after.Leaseholders, h.start.reserves, h.s.now())
 		h.announce()
 	default:
 		h.allocator.SetRegistered(h.s.now(), after.Leaseholders)
+		h.allocator.SetReserves(after.Reserves)
 	}
 	h.runDeferred()
 }
--- a/internal/quota/simulation_test.go
+++ b/internal/quota/simulation_test.go
@@ -21,6 +21,7 @@
 	sent     int
 	refused  int
 	ideal    idealBucket
+	total    idealBucket // of what was admitted: all buckets together, which no loss may fill
 }
 
 // idealBucket is one bucket with the tenant's limit, for comparison.
@@ -31,8 +32,7 @@
 }
 
 func (b *idealBucket) arrive(now time.Time, l Limit) {
-	b.used = max(0, b.used-l.Rate*now.Sub(b.at).Seconds())
-	b.at = now
+	b.drain(now, l)
 	if b.used+1 > l.Burst {
 		b.refused++
 		return
@@ -40,6 +40,12 @@
 	b.used++
 }
 
+// drain takes off what the rate has given since the last call.
+func (b *idealBucket) drain(now time.Time, l Limit) {
+	b.used = max(0, b.used-l.Rate*now.Sub(b.at).Seconds())
+	b.at = now
+}
+
 type simulation struct {
 	t        *testing.T
 	clock    simnet.Clock
@@ -132,6 +138,19 @@
 		s.violated = true
 		s.t.Errorf("%s: requests in a window: got %d at %v, want %.1f at most", t.name, count, s.clock.Now(), most)
 	}
+	s.checkTotal(t)
+}
+
+// checkTotal checks that what was admitted fits one bucket with the tenant's rate and the capacity of all buckets, and what
+// proxies may have to return besides: a lost allocator or proxy loses tokens, and never gains any.
+func (s *simulation) checkTotal(t *simulatedTenant) {
+	t.total.drain(s.now(), t.limit)
+	t.total.used++
+	most := s.policy.capacity(t.limit) + t.limit.Rate*surplusSpan.Seconds()
+	if t.total.used > most && !s.violated {
+		s.violated = true
+		s.t.Errorf("%s: requests of one bucket: got %.1f at %v, want %.1f at most", t.name, t.total.used, s.clock.Now(), most)
+	}
 }
 
 // checkLeases checks, for the tenants whose leases have just been renewed, that no more is leased than their limits allow.
--- a/internal/quota/take.go
+++ b/internal/quota/take.go
@@ -70,8 +70,12 @@
 
 // refusalError returns the error of a request that gets no token.
 func (l *Limiter) refusalError(now time.Time, tenant string, r outcome) error {
-	if r == unreachable {
+	switch r {
+	case unreachable:
 		return newRefusal(fault.NotReady, tenant, unreachableSpan)
+	case unsettled:
+		return newRefusal(fault.NotReady, tenant, max(l.buckets.grantAfter(now, tenant), callPause))
+	case granted, exhausted:
 	}
 	return newRefusal(fault.QuotaExceeded, tenant, max(l.buckets.exhaustedFor(now, tenant), callPause))
 }
--- a/internal/quota/waiting.go
+++ b/internal/quota/waiting.go
@@ -18,6 +18,7 @@
 const (
 	granted     outcome = iota
 	exhausted           // the tenant's rate is used up
+	unsettled           // the allocator cannot tell yet whether the tenant's rate is used up
 	unreachable         // there is no token of a lease, and the allocator does not answer
 )
 
@@ -27,7 +28,7 @@
 	case now.Sub(l.failedAt) < unreachableSpan:
 		return unreachable
 	case l.buckets.exhaustedFor(now, tenant) > 0:
-		return exhausted
+		return l.buckets.refusalOf(now, tenant)
 	}
 	return granted
 }
@@ -36,7 +37,7 @@
 // allocator. It reports whether the request waits.
 func (l *Limiter) keepWaiting(now time.Time, tenant string, request *waitingRequest, refusal outcome) bool {
 	after := l.buckets.tokenAfter(now, tenant, len(l.waiting[tenant]))
-	if refusal == exhausted {
+	if refusal == exhausted || refusal == unsettled {
 		after = min(after, l.buckets.grantAfter(now, tenant))
 	}
 	if !now.Add(after).Before(request.deadline) {
@@ -117,11 +118,11 @@
 	case <-ctx.Done():
 	case <-timer.C:
 	}
-	return l.outcomeError(tenant, l.abandon(request))
+	return l.outcomeError(tenant, l.abandon(tenant, request))
 }
 
 // abandon stops waiting, and returns the outcome if it has just come.
-func (l *Limiter) abandon(request *waitingRequest) outcome {
+func (l *Limiter) abandon(tenant string, request *waitingRequest) outcome {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	select {
@@ -130,8 +131,5 @@
 	default:
 	}
 	request.abandoned = true
-	if l.allocator.IsValid() {
-		return exhausted
-	}
-	return unreachable
+	return l.buckets.refusalOf(time.Now(), tenant)
 }
