--- a/cmd/nickelline/traffic.go
+++ b/cmd/nickelline/traffic.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"go.uber.org/zap"
+
+	"nickelline/internal/pause"
 )
 
 // trafficInterval is the time between two log lines on the bytes that were sent.
@@ -18,16 +20,7 @@
 
 // reportTraffic logs at intervals what this process has sent to others of the system, until ctx ends.
 func (n *node) reportTraffic(ctx context.Context) {
-	ticker := time.NewTicker(trafficInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			n.logTraffic()
-		}
-	}
+	pause.Every(ctx, trafficInterval, nil, n.logTraffic)
 }
 
 // logTraffic writes one line with the bytes since the start, by package and by whether they left the zone.
--- a/internal/chain/neighbour_probes.go
+++ b/internal/chain/neighbour_probes.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"nickelline/internal/pause"
 	"nickelline/internal/view"
 )
 
@@ -77,23 +78,18 @@
 
 // probeNeighbours probes the neighbours of this replica every probeInterval until ctx ends.
 func (r *Reconfigurer) probeNeighbours(ctx context.Context) {
-	ticker := time.NewTicker(probeInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-		v := r.node.View()
-		unresponsive := false
-		for _, m := range r.probes.observe(r.now(), v, r.self().Replica) {
-			go r.probeNeighbour(ctx, m)
-			unresponsive = unresponsive || r.probes.unresponsive(r.now(), m.Replica)
-		}
-		if unresponsive {
-			notify(r.wake)
-		}
+	pause.Every(ctx, probeInterval, nil, func() { r.probeNeighboursOnce(ctx) })
+}
+
+// probeNeighboursOnce sends a probe to each neighbour, and wakes the reconfigurer if one does not answer.
+func (r *Reconfigurer) probeNeighboursOnce(ctx context.Context) {
+	unresponsive := false
+	for _, m := range r.probes.observe(r.now(), r.node.View(), r.self().Replica) {
+		go r.probeNeighbour(ctx, m)
+		unresponsive = unresponsive || r.probes.unresponsive(r.now(), m.Replica)
+	}
+	if unresponsive {
+		notify(r.wake)
 	}
 }
 
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -13,6 +13,7 @@
 
 	"nickelline/internal/chain"
 	"nickelline/internal/member"
+	"nickelline/internal/pause"
 	"nickelline/internal/peer"
 	"nickelline/internal/segment"
 	"nickelline/internal/settings"
@@ -160,18 +161,10 @@
 
 // runPlacement calls the placement controller every heartbeat, and whenever something may have changed.
 func (c *Control) runPlacement(ctx context.Context) {
-	ticker := time.NewTicker(c.heartbeat)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		case <-c.wakePlacement:
-		}
+	pause.Every(ctx, c.heartbeat, c.wakePlacement, func() {
 		_, isHead := c.head()
 		c.placementController.reconcile(ctx, time.Now(), isHead)
-	}
+	})
 }
 
 // head returns the address of the head of the control chain, and whether that is this node.
--- a/internal/control/headstatus.go
+++ b/internal/control/headstatus.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/zap"
 
+	"nickelline/internal/pause"
 	"nickelline/internal/view"
 )
 
@@ -43,17 +44,7 @@
 
 // run makes proofs at intervals while this node seems to be the head, and whenever wake is signalled, until ctx ends.
 func (h *HeadStatus) run(ctx context.Context, wake <-chan struct{}) {
-	ticker := time.NewTicker(headProofPeriod)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		case <-wake:
-		}
-		h.prove(ctx)
-	}
+	pause.Every(ctx, headProofPeriod, wake, func() { h.prove(ctx) })
 }
 
 // prove makes one proof. It counts from when it begins.
--- a/internal/load/service.go
+++ b/internal/load/service.go
@@ -10,6 +10,7 @@
 
 	"nickelline/internal/admission"
 	"nickelline/internal/member"
+	"nickelline/internal/pause"
 	"nickelline/internal/peer"
 )
 
@@ -64,16 +65,9 @@
 
 // Run reports all pools each Interval until the context ends.
 func (s *Service) Run(ctx context.Context) {
-	ticker := time.NewTicker(Interval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			s.reportAll(time.Now())
-		}
-	}
+	pause.Every(ctx, Interval, nil, func() {
+		s.reportAll(time.Now())
+	})
 }
 
 // send encodes a message and sends it.
--- a/internal/pause/pause.go
+++ b/internal/pause/pause.go
@@ -20,3 +20,19 @@
 		return true
 	}
 }
+
+// Every calls do once in each period, and whenever wake is signalled, until ctx ends. wake may be nil. Calls that come due
+// while do runs are made up for by one.
+func Every(ctx context.Context, period time.Duration, wake <-chan struct{}, do func()) {
+	ticker := time.NewTicker(period)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		case <-wake:
+		}
+		do()
+	}
+}
--- a/internal/pause/pause_test.go
+++ b/internal/pause/pause_test.go
@@ -37,3 +37,33 @@
 		}
 	}
 }
+
+func TestEveryCallsInEachPeriodAndWhenWoken(t *testing.T) {
+	const calls = 3
+	for name, test := range map[string]struct {
+		period time.Duration
+		wake   bool
+	}{
+		"period": {time.Millisecond, false},
+		"wake":   {time.Hour, true},
+	} {
+		ctx, cancel := context.WithCancel(t.Context())
+		var wake chan struct{}
+		if test.wake {
+			wake = make(chan struct{}, calls)
+			for range calls {
+				wake <- struct{}{}
+			}
+		}
+		count := 0
+		Every(ctx, test.period, wake, func() {
+			if count++; count == calls {
+				cancel()
+			}
+		})
+		if count < calls {
+			t.Errorf("%s: got %d calls, want at least %d", name, count, calls)
+		}
+		cancel()
+	}
+}
--- a/internal/peer/idle.go
+++ b/internal/peer/idle.go
@@ -3,6 +3,8 @@
 import (
 	"errors"
 	"time"
+
+	"nickelline/internal/pause"
 )
 
 // Idle connections are closed, so that a process does not end up with one to each other process. The side that finds one
@@ -20,16 +22,7 @@
 
 // checkIdle looks for idle connections each idleCheckPeriod until Close.
 func (t *Transport) checkIdle() {
-	ticker := time.NewTicker(idleCheckPeriod)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ticker.C:
-			t.checkIdleOnce()
-		case <-t.context.Done():
-			return
-		}
-	}
+	pause.Every(t.context, idleCheckPeriod, nil, t.checkIdleOnce)
 }
 
 // checkIdleOnce checks all connections.
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -4,6 +4,8 @@
 	"context"
 	"sync"
 	"time"
+
+	"nickelline/internal/pause"
 )
 
 // Pool holds the connections to all backends, which have keys of type K. Of a backend's idle connections the most recently
@@ -42,17 +44,8 @@
 
 // Run closes idle connections that are no longer fit for use until ctx ends, and then closes them all.
 func (p *Pool[K]) Run(ctx context.Context) {
-	ticker := time.NewTicker(p.options.SweepInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			p.close()
-			return
-		case <-ticker.C:
-			p.sweep()
-		}
-	}
+	pause.Every(ctx, p.options.SweepInterval, nil, p.sweep)
+	p.close()
 }
 
 // Wait blocks until no dial is under way. Nothing may be acquired any more.
