control: a proof that failed is tried again soon

Cause: after a start of all control nodes the first proof that a node is the head fails, as the voters do not listen yet, and the next one came 400 ms later. Change: a failed proof is followed by the next after 25 ms, doubling up to the period; the publisher's proofs likewise.

--- a/internal/control/headstatus.go
+++ b/internal/control/headstatus.go
@@ -8,7 +8,6 @@
 
 	"go.uber.org/zap"
 
-	"nickelline/internal/pause"
 	"nickelline/internal/view"
 )
 
@@ -44,25 +43,27 @@
 
 // run makes proofs at intervals while this node seems to be the head, and whenever wake is signalled, until ctx ends.
 func (h *HeadStatus) run(ctx context.Context, wake <-chan struct{}) {
-	pause.Every(ctx, headProofPeriod, wake, func() { h.prove(ctx) })
+	proveRepeatedly(ctx, headProofPeriod, wake, h.prove)
 }
 
-// prove makes one proof. It counts from when it begins.
-func (h *HeadStatus) prove(ctx context.Context) {
+// prove makes one proof, if this node seems to be the head. It counts from when it begins. It reports whether there is no need for
+// another one soon.
+func (h *HeadStatus) prove(ctx context.Context) bool {
 	if !h.isHead(h.node.View()) {
-		return
+		return true
 	}
 	begin := time.Now()
 	confirmed, err := h.prover.ConfirmView(ctx)
 	if err != nil {
 		h.log.Debug("prove head status failed", zap.Uint64("epoch", h.Epoch()), zap.Error(err))
-		return
+		return false
 	}
 	if h.isHead(confirmed) {
 		h.mutex.Lock()
 		defer h.mutex.Unlock()
 		h.provenAt, h.provenEpoch = begin, confirmed.Epoch
 	}
+	return true
 }
 
 func (h *HeadStatus) isHead(v view.View) bool {
--- a/internal/control/publisher.go
+++ b/internal/control/publisher.go
@@ -76,24 +76,13 @@
 
 // run makes proofs at intervals, and whenever wake is signalled, until ctx ends.
 func (p *publisher) run(ctx context.Context, wake <-chan struct{}) {
-	timer := time.NewTimer(0)
-	defer timer.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-timer.C:
-		case <-wake:
-		}
-		p.prove(ctx)
-		timer.Reset(p.period)
-	}
+	proveRepeatedly(ctx, p.period, wake, p.prove)
 }
 
 // prove makes one proof that what is applied here is current, and certifies the published versions as of its beginning. A
 // barrier is needed only while commands are in progress: it waits for unreachable members until the chain continues without
-// them.
-func (p *publisher) prove(ctx context.Context) {
+// them. It reports whether it succeeded.
+func (p *publisher) prove(ctx context.Context) bool {
 	begin := time.Now()
 	if p.prover.ConfirmCurrent(ctx) != nil {
 		begin = time.Now()
@@ -101,11 +90,12 @@
 		defer cancel()
 		if err := p.node.Barrier(ctx); err != nil {
 			p.log.Debug("prove that the control state is current failed", zap.Error(err))
-			return
+			return false
 		}
 	}
 	p.publish()
 	p.certifyAll(begin)
+	return true
 }
 
 func (p *publisher) certifyAll(asOf time.Time) {
