--- a/internal/forward/client.go
+++ b/internal/forward/client.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"cmp"
 	"context"
 	"time"
 
@@ -9,8 +10,8 @@
 )
 
 const (
-	// connectTimeout bounds a dial, so that there is time left for another backend.
-	connectTimeout = 200 * time.Millisecond
+	// defaultConnectTimeout bounds a dial, so that there is time left for another backend.
+	defaultConnectTimeout = 200 * time.Millisecond
 	// minIdle is how long a connection is not used after an answer: surplus bytes of the backend have come by then.
 	minIdle = 20 * time.Millisecond
 	// maxIdle is how long a connection is kept without a request, unless the backend states less.
@@ -28,11 +29,15 @@
 type Options struct {
 	// Connections is the greatest number of connections to backends at one time.
 	Connections int
+	// ConnectTimeout bounds the dialing of a connection; defaultConnectTimeout if it is 0. A shorter one leaves more time for
+	// another backend, a longer one bears slower machines and networks.
+	ConnectTimeout time.Duration
 }
 
 // Client sends requests to backends over a pool of connections. It is safe for concurrent use.
 type Client struct {
-	pool *upstream.Pool[string]
+	pool           *upstream.Pool[string]
+	connectTimeout time.Duration
 }
 
 // NewClient returns a client. Run has to be called for it to close idle connections.
@@ -47,7 +52,7 @@
 		SweepInterval:  sweepInterval,
 		Dial:           dial,
 	})
-	return &Client{pool: pool}
+	return &Client{pool: pool, connectTimeout: cmp.Or(o.ConnectTimeout, defaultConnectTimeout)}
 }
 
 // Run closes idle connections as they grow old until ctx ends, and then closes them all.
@@ -90,7 +95,7 @@
 
 // acquire takes an idle connection that the backend still keeps open, or dials one.
 func (c *Client) acquire(ctx context.Context, backend *upstream.Backend, deadline time.Time) (*upstream.Conn, error) {
-	dialDeadline := time.Now().Add(connectTimeout)
+	dialDeadline := time.Now().Add(c.connectTimeout)
 	if dialDeadline.After(deadline) {
 		dialDeadline = deadline
 	}
