node: TestUnresponsiveBackend asks again where nothing was sent

Change: a refused order is asked again with more patience, and the backend must not have got more orders than were not refused, which the test did not look at before.

--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -38,19 +38,52 @@
 	}
 }
 
+// requestLines counts the requests that a stand-in has begun to read, by class.
+type requestLines struct {
+	mutex sync.Mutex
+	count map[string]int
+}
+
+// readSilently counts the request of a connection and never answers it.
+func (l *requestLines) readSilently(c net.Conn) {
+	r := bufio.NewReader(c)
+	if line, _ := r.ReadString('\n'); line != "" {
+		class, _, _ := strings.Cut(strings.TrimPrefix(strings.Fields(line)[1], "/"), "?")
+		l.mutex.Lock()
+		l.count[class]++
+		l.mutex.Unlock()
+	}
+	io.Copy(io.Discard, r)
+}
+
 // A backend that does not answer holds up nobody: the answer comes by the client's patience, and it is the module's. Where the
-// test's own machine is held up for longer than the guard behind that waits, the guard's answer comes: it is asked again.
+// test's own machine is held up for longer than the guard behind that waits, the guard's answer comes, and where it is held up
+// until there is no time left, a request is refused without being sent: then it is asked again with more patience. What is
+// refused must not have been sent.
 func TestUnresponsiveBackend(t *testing.T) {
 	t.Parallel()
-	addr := startBackend(t, func(c net.Conn) { io.Copy(io.Discard, c) })
+	lines := &requestLines{count: map[string]int{}}
+	mayHaveRun := map[string]int{} // tries that were not refused, by class
+	t.Cleanup(func() {             // when the node and the backend have ended; an order is sent once at most
+		if got, most := lines.count["order"], mayHaveRun["order"]; got > most {
+			t.Errorf("orders at the backend: got %d, want at most the %d that were not refused", got, most)
+		}
+	})
+	addr := startBackend(t, lines.readSilently)
 	p := startHeld(t, &Config{Settings: testSettings(), KnownBackends: knownBackends(addr)})
 	n := &testNode{addr: p.addr}
 	for class, want := range map[string]int{"read": 503, "tag": 502, "order": 502} {
 		status := 0
-		for range 10 {
+		for try := range 10 {
 			guarded := p.frontend.stats.overdue.Load()
-			resp, _ := n.ask(t, message(class, "0.4", ""))
-			if status = resp.StatusCode; status != http.StatusGatewayTimeout || p.frontend.stats.overdue.Load() == guarded {
+			resp, _ := n.ask(t, message(class, fmt.Sprint(0.4*float64(try+1)), ""))
+			status = resp.StatusCode
+			refused := status == http.StatusServiceUnavailable
+			if !refused {
+				mayHaveRun[class]++
+			}
+			isGuard := status == http.StatusGatewayTimeout && p.frontend.stats.overdue.Load() > guarded
+			if !isGuard && !(refused && want != status) {
 				break
 			}
 		}
