--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -56,7 +56,6 @@
 // Proxy serves clients. It is safe for concurrent use.
 type Proxy struct {
 	options   Options
-	startedAt time.Time
 	clients   *server
 	readiness *server // for the platform's health checks
 	draining  atomic.Bool
@@ -67,7 +66,7 @@
 
 // New returns a proxy that serves clients at one listener, and the platform's readiness checks at another.
 func New(clients, readiness *net.TCPListener, o Options) *Proxy {
-	p := &Proxy{options: o, startedAt: time.Now(), drainNotice: defaultDrainNotice, counters: newCounters()}
+	p := &Proxy{options: o, drainNotice: defaultDrainNotice, counters: newCounters()}
 	p.clients = newServer(serverOptions{
 		listener:       clients,
 		handle:         p.serve,
--- a/internal/proxy/serve.go
+++ b/internal/proxy/serve.go
@@ -15,10 +15,6 @@
 	// answerReserve is subtracted from the time that a client waits: the answer has to reach it by then.
 	answerReserve = 5 * time.Millisecond
 
-	// startRetryFactor is what part of the time without a configuration a client is told to wait, up to maxStartRetryAfter. Clients
-	// try again a few times only, so that coming back too soon costs more than coming back late.
-	startRetryFactor   = 4
-	maxStartRetryAfter = 700 * time.Millisecond
 	// quotaWaitFraction of a route's target latency is how long a request may wait for the quota of its tenant: a refusal
 	// within a quarter of the target costs less.
 	quotaWaitFraction = 0.2
@@ -120,19 +116,11 @@
 func (p *Proxy) snapshot() (*configuration.Snapshot, error) {
 	snapshot := p.options.Configuration()
 	if snapshot == nil {
-		missing := fault.New(fault.NotReady, "there is no configuration yet")
-		return nil, &retryAfterError{error: missing, after: configurationRetryAfter(time.Since(p.startedAt))}
+		return nil, fault.New(fault.NotReady, "there is no configuration yet")
 	}
 	return snapshot, nil
 }
 
-// configurationRetryAfter returns when to come back to a process that has run for some time and has no configuration. One that
-// has started alone gets it from its neighbours at once. The longer it lacks one, the more likely it is that all have
-// started, and that it takes as long again until the control nodes are ready.
-func configurationRetryAfter(uptime time.Duration) time.Duration {
-	return min(max(startRetryFactor*uptime, defaultRetryAfter), maxStartRetryAfter)
-}
-
 // deadline returns when the answer must be complete, by the time that the client waits and the timeout of the route.
 func (r *request) deadline(route *configuration.Route) time.Time {
 	patience := r.patience(maxPatience)
