peer: a dial begins anew when the peer is heard

Cause: after a loss of power a dial to a machine that is still dark loses its opening packet, and attempts go on for 0.15, 0.25 and 0.6 s; one that began just before the machine returned holds up all messages to it for up to 0.6 s, though the machine itself has connected by then.

--- a/internal/peer/accept.go
+++ b/internal/peer/accept.go
@@ -79,6 +79,7 @@
 		_ = socket.Close()
 		return
 	}
+	t.notePeerUp(hello.address)
 	c := newConnection(t, hello.address)
 	c.accepted = true
 	c.generation = hello.generation
--- a/internal/peer/connection.go
+++ b/internal/peer/connection.go
@@ -31,6 +31,7 @@
 	to         netip.AddrPort // listening address of the peer
 	accepted   bool           // dialled by the peer
 	queueReady chan struct{}  // wakes the writer; closed with the connection
+	peerUp     chan struct{}  // signalled when the peer is heard while it is being dialled
 	handlers   atomic.Int32   // running requests of the peer
 
 	mutex       sync.Mutex
@@ -51,6 +52,7 @@
 		transport:  t,
 		to:         to,
 		queueReady: make(chan struct{}, 1),
+		peerUp:     make(chan struct{}, 1),
 		pending:    make(map[uint64]*pendingCall),
 	}
 	hello := &frame{frameType: helloFrame, address: t.address, generation: t.generation}
@@ -60,6 +62,13 @@
 	return c
 }
 
+// isBeingDialled reports whether there is no socket yet.
+func (c *connection) isBeingDialled() bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.socket == nil && !c.closed
+}
+
 // open sets the socket. It reports whether the connection is still wanted.
 func (c *connection) open(socket net.Conn) bool {
 	c.mutex.Lock()
--- a/internal/peer/datagram.go
+++ b/internal/peer/datagram.go
@@ -58,7 +58,9 @@
 		t.log.Debug("decode datagram failed", zap.Stringer("from", from), zap.Error(err))
 		return
 	}
+	from = netip.AddrPortFrom(from.Addr().Unmap(), from.Port())
+	t.notePeerUp(from)
 	if handler := t.datagrams[f.kind]; handler != nil {
-		handler(netip.AddrPortFrom(from.Addr().Unmap(), from.Port()), Message{Kind: f.kind, Body: f.body})
+		handler(from, Message{Kind: f.kind, Body: f.body})
 	}
 }
--- a/internal/peer/listen.go
+++ b/internal/peer/listen.go
@@ -18,19 +18,20 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Transport{
-		address:     listener.Addr().(*net.TCPAddr).AddrPort(),
-		generation:  rand.Uint64() | 1,
-		log:         log,
-		listener:    listener,
-		packets:     packets,
-		dialer:      newDialer(log),
-		handlers:    make(map[Kind]Handler),
-		oneWay:      make(map[Kind]func(netip.AddrPort, Message)),
-		datagrams:   make(map[Kind]func(netip.AddrPort, Message)),
-		context:     ctx,
-		cancel:      cancel,
-		connections: make(map[netip.AddrPort]*connection),
-		open:        make(map[*connection]struct{}),
+		address:      listener.Addr().(*net.TCPAddr).AddrPort(),
+		dialTimeouts: dialTimeouts,
+		generation:   rand.Uint64() | 1,
+		log:          log,
+		listener:     listener,
+		packets:      packets,
+		dialer:       newDialer(log),
+		handlers:     make(map[Kind]Handler),
+		oneWay:       make(map[Kind]func(netip.AddrPort, Message)),
+		datagrams:    make(map[Kind]func(netip.AddrPort, Message)),
+		context:      ctx,
+		cancel:       cancel,
+		connections:  make(map[netip.AddrPort]*connection),
+		open:         make(map[*connection]struct{}),
 	}, nil
 }
 
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -35,6 +35,8 @@
 	listener   *net.TCPListener
 	packets    *net.UDPConn
 	dialer     *net.Dialer
+	// dialTimeouts are those of the attempts at one connection.
+	dialTimeouts []time.Duration
 
 	handlers  map[Kind]Handler
 	oneWay    map[Kind]func(from netip.AddrPort, m Message)
@@ -133,9 +135,23 @@
 	}
 }
 
+// notePeerUp has a connection that is being dialled to a peer tried again at once, as the peer has been heard.
+func (t *Transport) notePeerUp(from netip.AddrPort) {
+	t.mutex.Lock()
+	c := t.connections[from]
+	t.mutex.Unlock()
+	if c == nil || !c.isBeingDialled() {
+		return
+	}
+	select {
+	case c.peerUp <- struct{}{}:
+	default:
+	}
+}
+
 // dial opens a connection and then reads its frames.
 func (t *Transport) dial(c *connection) {
-	socket, err := dialWithRetries(t.context, dialTimeouts, func(ctx context.Context) (net.Conn, error) {
+	socket, err := dialWithRetries(t.context, t.dialTimeouts, c.peerUp, func(ctx context.Context) (net.Conn, error) {
 		return t.dialer.DialContext(ctx, "tcp4", c.to.String())
 	})
 	if err != nil {
