quota: the registry remembers processes that were replaced

A late renewal of an ended process reached a new allocator, which did not know that it had ended, and registered it in place of the process that runs at its address; when that one was registered again it was taken to have no leases until its next complete renewal. Change: the control state lists processes that were replaced, three at each address, and a new allocator rejects their messages. The reserve is 0.5 of the capacity.

TestNewGenerationReplacesTheFormer also demands the list of replaced processes now.

--- a/cmd/nickelline/control.go
+++ b/cmd/nickelline/control.go
@@ -165,6 +165,9 @@
 	for _, member := range set.Members {
 		state.Leaseholders = append(state.Leaseholders, quota.Leaseholder(member))
 	}
+	for _, former := range set.Former {
+		state.Former = append(state.Former, quota.Leaseholder(former))
+	}
 	return state
 }
 
--- a/internal/control/apply_leaseholders.go
+++ b/internal/control/apply_leaseholders.go
@@ -28,10 +28,40 @@
 	members := slices.DeleteFunc(slices.Clone(s.Members), func(member Leaseholder) bool {
 		return slices.Contains(change.Remove, member)
 	})
+	former := slices.Clone(s.Former)
 	for _, added := range change.Add {
+		if i, found := slices.BinarySearchFunc(members, added, compareAddresses); found && members[i] != added {
+			former = appendFormer(former, members[i])
+		}
 		members = insertLeaseholder(members, added)
 	}
-	return LeaseholderSet{Epoch: change.Epoch, Revision: s.Revision + 1, Members: members, Reserves: s.changedReserves(change)}
+	return LeaseholderSet{
+		Epoch:    change.Epoch,
+		Revision: s.Revision + 1,
+		Members:  members,
+		Former:   former,
+		Reserves: s.changedReserves(change),
+	}
+}
+
+// maximumFormer is how many former processes are remembered at each address. It is the same at all replicas, as the state
+// depends on it.
+const maximumFormer = 3
+
+// appendFormer adds a process that was replaced, and forgets the oldest one at its address if there are too many.
+func appendFormer(former []Leaseholder, replaced Leaseholder) []Leaseholder {
+	isAtAddress := func(l Leaseholder) bool { return l.Address == replaced.Address }
+	count := 0
+	for _, l := range former {
+		if isAtAddress(l) {
+			count++
+		}
+	}
+	if count >= maximumFormer {
+		oldest := slices.IndexFunc(former, isAtAddress)
+		former = slices.Delete(former, oldest, oldest+1)
+	}
+	return append(former, replaced)
 }
 
 // changedReserves returns the tenants whose reserves are kept after a change.
--- a/internal/control/controlwire/control.capnp
+++ b/internal/control/controlwire/control.capnp
@@ -59,6 +59,8 @@
   members @2 :List(Holder);
   reserves @3 :List(Text);
   # Tenants whose reserves are kept.
+  former @4 :List(Holder);
+  # Processes that were replaced by others at their addresses, the oldest first.
 }
 
 struct Command {
--- a/internal/control/golden_test.go
+++ b/internal/control/golden_test.go
@@ -137,7 +137,7 @@
 	if err := restored.Restore(golden.ReadBytes(t, "snapshot_without_reserves.hex")); err != nil {
 		t.Fatalf("restore: %v", err)
 	}
-	checkGoldenState(t, restored.State(), nil)
+	checkGoldenState(t, restored.State(), LeaseholderSet{Epoch: 51, Revision: 1, Members: []Leaseholder{goldenAdded, goldenRemoved}})
 }
 
 // goldenMachine holds something of each kind that a snapshot contains.
@@ -155,6 +155,8 @@
 		Add:   []Leaseholder{goldenAdded, goldenRemoved},
 		Keep:  goldenReserves,
 	}}, Accepted)
+	replacement := Leaseholder{Address: goldenAdded.Address, Generation: goldenAdded.Generation + 1}
+	applyAndCheck(t, m, changeLeaseholders(51, 1, []Leaseholder{replacement}, nil), Accepted)
 	return m
 }
 
@@ -165,7 +167,13 @@
 		t.Fatalf("restore: %v", err)
 	}
 	golden.Bytes(t, "snapshot.hex", restored.Snapshot())
-	checkGoldenState(t, restored.State(), goldenReserves)
+	checkGoldenState(t, restored.State(), LeaseholderSet{
+		Epoch:    51,
+		Revision: 2,
+		Members:  []Leaseholder{{Address: goldenAdded.Address, Generation: goldenAdded.Generation + 1}, goldenRemoved},
+		Former:   []Leaseholder{goldenAdded},
+		Reserves: goldenReserves,
+	})
 	if !restored.HasAccepted(goldenOrder.Digest()) {
 		t.Error("the accepted order is not remembered")
 	}
@@ -174,7 +182,7 @@
 	}
 }
 
-func checkGoldenState(t *testing.T, state *State, wantReserves []string) {
+func checkGoldenState(t *testing.T, state *State, wantHolders LeaseholderSet) {
 	t.Helper()
 	if got := state.Version(); got != 81 {
 		t.Errorf("got configuration version %d, want 81", got)
@@ -190,12 +198,6 @@
 	if state.RetirementRevision != 3 || state.PlacementVersion != 1 || string(state.Placement) != "placement table" {
 		t.Errorf("got revision %d, placement %d %q", state.RetirementRevision, state.PlacementVersion, state.Placement)
 	}
-	wantHolders := LeaseholderSet{
-		Epoch:    51,
-		Revision: 1,
-		Members:  []Leaseholder{goldenAdded, goldenRemoved},
-		Reserves: wantReserves,
-	}
 	if !reflect.DeepEqual(state.Leaseholders, wantHolders) {
 		t.Errorf("got %+v, want %+v", state.Leaseholders, wantHolders)
 	}
--- a/internal/control/leaseholders_codec.go
+++ b/internal/control/leaseholders_codec.go
@@ -34,7 +34,11 @@
 	}
 	target.SetEpoch(set.Epoch)
 	target.SetRevision(set.Revision)
-	return errors.Join(fillLeaseholders(set.Members, target.NewMembers), fillNames(set.Reserves, target.NewReserves))
+	return errors.Join(
+		fillLeaseholders(set.Members, target.NewMembers),
+		fillLeaseholders(set.Former, target.NewFormer),
+		fillNames(set.Reserves, target.NewReserves),
+	)
 }
 
 // fillNames writes a list of names, which is left out if it is empty.
@@ -117,6 +121,9 @@
 	if set.Members, err = readLeaseholders(source.Members()); err != nil {
 		return LeaseholderSet{}, err
 	}
+	if set.Former, err = readLeaseholders(source.Former()); err != nil {
+		return LeaseholderSet{}, err
+	}
 	set.Reserves, err = readNames(source.Reserves())
 	return set, err
 }
--- a/internal/control/leaseholders_test.go
+++ b/internal/control/leaseholders_test.go
@@ -43,7 +43,7 @@
 	restarted := Leaseholder{Address: leaseholderA.Address, Generation: 9}
 	applyAndCheck(t, m, changeLeaseholders(1, 1, []Leaseholder{restarted}, nil), Accepted)
 	applyAndCheck(t, m, changeLeaseholders(1, 2, nil, []Leaseholder{leaseholderA}), Accepted) // not the current process
-	checkLeaseholders(t, m, LeaseholderSet{Epoch: 1, Revision: 3, Members: []Leaseholder{restarted, leaseholderB}})
+	checkLeaseholders(t, m, LeaseholderSet{Epoch: 1, Revision: 3, Members: []Leaseholder{restarted, leaseholderB}, Former: []Leaseholder{leaseholderA}})
 }
 
 func TestLeaseholdersChangeOnlyFromTheCurrentRevision(t *testing.T) {
@@ -108,3 +108,22 @@
 	change(3, true, []string{"d"}, nil, "d")
 	change(4, true, nil, nil)
 }
+
+// Processes that others have replaced are remembered, a few at each address. Those that were removed are not: they may run and
+// register again.
+func TestReplacedLeaseholdersAreRemembered(t *testing.T) {
+	m := NewMachine()
+	at := leaseholderA.Address
+	applyAndCheck(t, m, changeLeaseholders(1, 0, []Leaseholder{{at, 1}, leaseholderB}, nil), Accepted)
+	for generation := uint64(2); generation <= maximumFormer+2; generation++ {
+		applyAndCheck(t, m, changeLeaseholders(1, generation-1, []Leaseholder{{at, generation}}, nil), Accepted)
+	}
+	applyAndCheck(t, m, changeLeaseholders(1, maximumFormer+2, []Leaseholder{{at, maximumFormer + 2}}, []Leaseholder{leaseholderB}), Accepted)
+	var want []Leaseholder
+	for generation := uint64(2); generation < maximumFormer+2; generation++ {
+		want = append(want, Leaseholder{at, generation})
+	}
+	if got := m.State().Leaseholders.Former; !slices.Equal(got, want) {
+		t.Errorf("former leaseholders: got %v, want %v", got, want)
+	}
+}
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -39,6 +39,9 @@
 	Epoch, Revision uint64
 	// Members are sorted by their addresses, one for each address.
 	Members []Leaseholder
+	// Former are processes that were replaced by others at their addresses and have ended, the oldest first, so that their late
+	// messages are told from those of new ones: the last maximumFormer of each address.
+	Former []Leaseholder
 	// Reserves are the tenants whose quota reserves are kept for the next allocator, sorted.
 	Reserves []string
 }
--- a/internal/quota/activation.go
+++ b/internal/quota/activation.go
@@ -77,10 +77,10 @@
 
 // startAllocator starts the allocator of an epoch, after the change of the registry that fences off former allocators.
 // The caller holds the mutex.
-func (s *Service) startAllocator(now time.Time, epoch uint64, registered []Leaseholder, reserves []string) {
-	s.log.Info("quota allocator started", zap.Uint64("epoch", epoch), zap.Int("leaseholders", len(registered)),
+func (s *Service) startAllocator(now time.Time, epoch uint64, registry RegistryState, reserves []string) {
+	s.log.Info("quota allocator started", zap.Uint64("epoch", epoch), zap.Int("leaseholders", len(registry.Leaseholders)),
 		zap.Int("reserves", len(reserves)))
-	s.allocator = NewAllocator(s.policy, s.limits, registered, reserves, now)
+	s.allocator = NewAllocator(s.policy, s.limits, registry, reserves, now)
 	s.allocator.isDown = s.isDown
 	s.epoch = epoch
 	s.announce(now, s.allocator)
--- a/internal/quota/allocator.go
+++ b/internal/quota/allocator.go
@@ -40,12 +40,12 @@
 	isDown func(netip.AddrPort) bool
 }
 
-// NewAllocator returns the allocator of a node that has become head. The registered processes may hold leases of former
-// allocators, which cannot register others any more. The grace period lasts until they have reclaimed their leases, or
-// all of these have expired. The reserves are those of the tenants that the registry had as kept before the change that has
+// NewAllocator returns the allocator of a node that has become head. The processes that are registered may hold leases of
+// former allocators, which cannot register others any more. The grace period lasts until they have reclaimed their leases,
+// or all of these have expired. The reserves are those of the tenants that the registry had as kept before the change that has
 // recorded all of them as spent.
 func NewAllocator(
-	p Policy, limits func(tenant string) Limit, registered []Leaseholder, reserves []string, now time.Time,
+	p Policy, limits func(tenant string) Limit, registry RegistryState, reserves []string, now time.Time,
 ) *Allocator {
 	a := &Allocator{
 		policy:       p,
@@ -55,13 +55,18 @@
 		tenants:      make(map[string]*tenantAccount),
 		leaseholders: make(map[netip.AddrPort]*leaseholderRecord),
 		reserves:     newReserveBook(reserves),
-		unreclaimed:  len(registered),
+		unreclaimed:  len(registry.Leaseholders),
 	}
-	for _, registered := range registered {
+	for _, registered := range registry.Leaseholders {
 		leaseholder := newLeaseholderRecord(registered.Generation, now)
 		leaseholder.registered = true
 		a.leaseholders[registered.Address] = leaseholder
 	}
+	for _, former := range registry.Former {
+		if leaseholder := a.leaseholders[former.Address]; leaseholder != nil {
+			leaseholder.former = append(leaseholder.former, former.Generation)
+		}
+	}
 	a.endGraceIfReclaimed(now)
 	return a
 }
--- a/internal/quota/allocator_test.go
+++ b/internal/quota/allocator_test.go
@@ -22,7 +22,7 @@
 
 // allocatorAfterGrace returns an allocator that knows all leases, and the time.
 func allocatorAfterGrace(l Limit) (*Allocator, time.Time) {
-	return NewAllocator(rulePolicy, oneLimit(l), nil, nil, testStart), testStart
+	return NewAllocator(rulePolicy, oneLimit(l), RegistryState{}, nil, testStart), testStart
 }
 
 // register adds a process to those that an allocator knows to be registered.
@@ -51,7 +51,7 @@
 
 func TestNewAllocatorGrantsNothingInGracePeriod(t *testing.T) {
 	h := Leaseholder{proxyAddress, 1}
-	a := NewAllocator(rulePolicy, oneLimit(Limit{Rate: 50, Burst: 50}), []Leaseholder{h, otherLeaseholder}, nil, testStart)
+	a := NewAllocator(rulePolicy, oneLimit(Limit{Rate: 50, Burst: 50}), RegistryState{Leaseholders: []Leaseholder{h, otherLeaseholder}}, nil, testStart)
 	held := Share{Rate: 20, Depth: 5}
 	grant := mustRenew(t, a, after(0), h, 1, Entry{Tenant: "t", Held: held, Demand: 40, Need: 3})[0]
 	if grant.Granted != 0 || grant.Lease.Rate > held.Rate || grant.Lease.Depth > held.Depth || grant.RetryAfter == 0 {
--- a/internal/quota/leaseholders_test.go
+++ b/internal/quota/leaseholders_test.go
@@ -25,7 +25,7 @@
 }
 
 func TestAllocatorWithoutLeaseholdersGrantsAtOnce(t *testing.T) {
-	a := NewAllocator(rulePolicy, oneLimit(testLimit), nil, nil, testStart)
+	a := NewAllocator(rulePolicy, oneLimit(testLimit), RegistryState{}, nil, testStart)
 	grant := mustRenew(t, a, after(0), testLeaseholder, 1, Entry{Tenant: "t", Demand: 100})[0]
 	if grant.Lease.Rate < 40 {
 		t.Errorf("grant without other leases: got %+v, want a rate of 40 at least", grant)
@@ -33,7 +33,7 @@
 }
 
 func TestGraceEndsOnceAllLeasesAreReclaimed(t *testing.T) {
-	a := NewAllocator(rulePolicy, oneLimit(testLimit), []Leaseholder{testLeaseholder, otherLeaseholder}, nil, testStart)
+	a := NewAllocator(rulePolicy, oneLimit(testLimit), RegistryState{Leaseholders: []Leaseholder{testLeaseholder, otherLeaseholder}}, nil, testStart)
 	held := Entry{Tenant: "t", Held: Share{Rate: 20, Depth: 5}, Demand: 100}
 	reclaimAll(t, a, after(time.Millisecond), testLeaseholder, 1, held)
 	if addresses := a.Unreclaimed(after(time.Millisecond)); !slices.Equal(addresses, []netip.AddrPort{otherLeaseholder.Address}) {
@@ -57,7 +57,7 @@
 }
 
 func TestRestartedProxyHasNothingToReclaim(t *testing.T) {
-	a := NewAllocator(rulePolicy, oneLimit(testLimit), []Leaseholder{testLeaseholder}, nil, testStart)
+	a := NewAllocator(rulePolicy, oneLimit(testLimit), RegistryState{Leaseholders: []Leaseholder{testLeaseholder}}, nil, testStart)
 	restarted := Leaseholder{proxyAddress, 2}
 	if a.StatusOf(restarted) != Unregistered || a.HasReclaimed(restarted) {
 		t.Error("restarted process: got registered or reclaimed, want neither")
@@ -98,3 +98,17 @@
 		t.Errorf("second TakeRemovable: got %v, want none", removable)
 	}
 }
+
+// A new allocator knows from the registry which processes have ended: a late renewal of one is not registered in place of the
+// process that runs at its address now, which may have leases.
+func TestNewAllocatorRejectsFormerProcesses(t *testing.T) {
+	former := Leaseholder{Address: testLeaseholder.Address, Generation: testLeaseholder.Generation + 7}
+	registry := RegistryState{Leaseholders: []Leaseholder{testLeaseholder}, Former: []Leaseholder{former}}
+	a := NewAllocator(rulePolicy, oneLimit(testLimit), registry, nil, testStart)
+	if got := a.StatusOf(former); got != Former {
+		t.Errorf("status of a process that was replaced: got %v, want %v", got, Former)
+	}
+	if got := a.StatusOf(testLeaseholder); got != Registered {
+		t.Errorf("status of the process in its place: got %v, want %v", got, Registered)
+	}
+}
--- a/internal/quota/leave_test.go
+++ b/internal/quota/leave_test.go
@@ -32,7 +32,7 @@
 
 // A new allocator does not wait for a process that left during the grace period.
 func TestGraceDoesNotWaitForLeavingProxy(t *testing.T) {
-	a := NewAllocator(rulePolicy, oneLimit(testLimit), []Leaseholder{testLeaseholder}, nil, testStart)
+	a := NewAllocator(rulePolicy, oneLimit(testLimit), RegistryState{Leaseholders: []Leaseholder{testLeaseholder}}, nil, testStart)
 	if _, err := a.Renew(after(0), testLeaseholder, &Renewal{Generation: 1, Sequence: 1, Complete: true, Leaving: true}); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/quota/registry.go
+++ b/internal/quota/registry.go
@@ -22,6 +22,8 @@
 	// Epoch is that of the allocator that made the latest change.
 	Epoch, Revision uint64
 	Leaseholders    []Leaseholder
+	// Former are processes that were replaced by others at their addresses.
+	Former []Leaseholder
 	// Reserves are the tenants whose reserves are kept.
 	Reserves []string
 }
@@ -169,7 +171,7 @@
 	case err != nil:
 		s.log.Info("change quota registry failed", zap.Uint64("epoch", change.Epoch), zap.Error(err))
 	case change.startsAllocator:
-		s.startAllocator(time.Now(), change.Epoch, after.Leaseholders, r.start.reserves)
+		s.startAllocator(time.Now(), change.Epoch, after, r.start.reserves)
 	case s.allocator != nil:
 		s.allocator.SetRegistered(time.Now(), after.Leaseholders)
 		s.allocator.SetReserves(after.Reserves)
--- a/internal/quota/reserves.go
+++ b/internal/quota/reserves.go
@@ -8,11 +8,11 @@
 const (
 	// reserveFraction of a tenant's capacity is its reserve. A larger one serves more after a loss of the allocator, and is
 	// touched more often, each time at the cost of a change of the registry.
-	reserveFraction = 0.4
+	reserveFraction = 0.5
 	// Fractions of the capacity: a reserve is recorded as spent when the bucket falls below the first, before requests wait
 	// for that, and as kept again when it has risen above the second.
-	reserveSpendLevel = 0.5
-	reserveKeepLevel  = 0.7
+	reserveSpendLevel = 0.57
+	reserveKeepLevel  = 0.72
 	// reserveKeepDelay passes at least between the spending of a reserve and its being kept again.
 	reserveKeepDelay = 2 * time.Second
 	// reserveRetryAfter is the Grant.RetryAfter of a request that waits until a reserve is recorded as spent.
--- a/internal/quota/reserves_test.go
+++ b/internal/quota/reserves_test.go
@@ -18,7 +18,7 @@
 }
 
 func newReserveFixture(t *testing.T, inherited ...string) *reserveFixture {
-	a := NewAllocator(rulePolicy, oneLimit(testLimit), nil, inherited, testStart)
+	a := NewAllocator(rulePolicy, oneLimit(testLimit), RegistryState{}, inherited, testStart)
 	a.SetRegistered(testStart, []Leaseholder{testLeaseholder})
 	return &reserveFixture{Allocator: a, t: t, now: testStart}
 }
@@ -69,7 +69,7 @@
 // The reserve is spent before the grace period ends: no former allocator and no leaseholder can use it.
 func TestReserveIsGrantedInTheGracePeriod(t *testing.T) {
 	registered := []Leaseholder{testLeaseholder, otherLeaseholder}
-	a := NewAllocator(rulePolicy, oneLimit(testLimit), registered, []string{testTenant}, testStart)
+	a := NewAllocator(rulePolicy, oneLimit(testLimit), RegistryState{Leaseholders: registered}, []string{testTenant}, testStart)
 	renewal := &Renewal{Sequence: 1, Entries: []Entry{{Tenant: testTenant, Need: 5}}}
 	grants, err := a.Renew(testStart, testLeaseholder, renewal)
 	if err != nil || grants[0].Granted != 5 || a.graceEnded(testStart) {
--- a/internal/quota/service_test.go
+++ b/internal/quota/service_test.go
@@ -53,6 +53,7 @@
 	r.epoch = change.Epoch
 	r.current.Epoch = change.Epoch
 	r.current.Revision++
+	r.current.Former = changedFormer(r.current, change)
 	r.current.Reserves = changedReserves(r.current.Reserves, change)
 	r.current.Leaseholders = changedMembers(r.current.Leaseholders, change)
 	return r.current, nil
@@ -70,6 +71,18 @@
 	return append(changed, change.Add...)
 }
 
+// changedFormer adds the processes that a change replaces to the former ones of a registry.
+func changedFormer(current RegistryState, change RegistryChange) []Leaseholder {
+	former := slices.Clone(current.Former)
+	for _, m := range current.Leaseholders {
+		replaces := func(added Leaseholder) bool { return added.Address == m.Address && added.Generation != m.Generation }
+		if slices.ContainsFunc(change.Add, replaces) {
+			former = append(former, m)
+		}
+	}
+	return former
+}
+
 // changedReserves applies a change to the reserves of a registry.
 func changedReserves(kept []string, change RegistryChange) []string {
 	var changed []string
--- a/internal/quota/simulation_head_test.go
+++ b/internal/quota/simulation_head_test.go
@@ -19,6 +19,7 @@
 		Epoch:        change.Epoch,
 		Revision:     r.current.Revision + 1,
 		Leaseholders: changedMembers(r.current.Leaseholders, change),
+		Former:       changedFormer(r.current, change),
 		Reserves:     changedReserves(r.current.Reserves, change),
 	}
 	return true
@@ -152,7 +153,7 @@
 		h.s.clock.After(changePause, h.retry)
 		return
 	case starts:
-		h.allocator = NewAllocator(h.s.policy, h.s.limitOf, after.Leaseholders, h.start.reserves, h.s.now())
+		h.allocator = NewAllocator(h.s.policy, h.s.limitOf, after, h.start.reserves, h.s.now())
 		h.announce()
 	default:
 		h.allocator.SetRegistered(h.s.now(), after.Leaseholders)
