--- a/internal/control/stored_data_test.go
+++ b/internal/control/stored_data_test.go
@@ -5,10 +5,8 @@
 	"encoding/hex"
 	"errors"
 	"fmt"
-	"io/fs"
 	"net"
 	"net/netip"
-	"os"
 	"path"
 	"strings"
 	"testing"
@@ -285,10 +283,7 @@
 }
 
 func TestStoredReplicaOfAnEarlierVersion(t *testing.T) {
-	if _, err := os.Stat(storedDirectory); golden.Updating() && errors.Is(err, fs.ErrNotExist) {
-		writeStoredReplica(t)
-	}
-	directory := golden.CopyDirectory(t, storedDirectory)
+	directory := golden.StoredDirectory(t, storedDirectory, writeStoredReplica)
 	golden.Text(t, "stored/replica-files.txt", golden.FileNames(t, directory))
 
 	s := openStoredReplica(t, directory, testAddress, false)
--- a/internal/golden/directory.go
+++ b/internal/golden/directory.go
@@ -1,6 +1,7 @@
 package golden
 
 import (
+	"errors"
 	"io/fs"
 	"os"
 	"path/filepath"
@@ -8,6 +9,16 @@
 	"testing"
 )
 
+// StoredDirectory returns a copy of a directory that is committed under testdata. When the test was asked to write its golden files
+// anew, and only where the directory is missing, it is written first: a stored directory is one of an earlier version.
+func StoredDirectory(t *testing.T, directory string, write func(*testing.T)) string {
+	t.Helper()
+	if _, err := os.Stat(directory); Updating() && errors.Is(err, fs.ErrNotExist) {
+		write(t)
+	}
+	return CopyDirectory(t, directory)
+}
+
 // CopyDirectory copies a directory that is committed under testdata, so that a test can open it for writing. It returns the
 // path of the copy, which is removed when the test ends.
 func CopyDirectory(t *testing.T, directory string) string {
--- a/internal/store/stored_data_test.go
+++ b/internal/store/stored_data_test.go
@@ -2,11 +2,8 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
-	"io/fs"
 	"net/netip"
-	"os"
 	"path"
 	"strings"
 	"testing"
@@ -350,10 +347,7 @@
 }
 
 func TestStoredPartitionOfAnEarlierVersion(t *testing.T) {
-	if _, err := os.Stat(storedDirectory); golden.Updating() && errors.Is(err, fs.ErrNotExist) {
-		writeStoredStore(t)
-	}
-	directory := golden.CopyDirectory(t, storedDirectory)
+	directory := golden.StoredDirectory(t, storedDirectory, writeStoredStore)
 	golden.Text(t, "stored/store-files.txt", golden.FileNames(t, directory))
 
 	s := openStoredStore(t, directory)
