--- a/internal/chain/prover_test.go
+++ b/internal/chain/prover_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"nickelline/internal/pause"
 	"nickelline/internal/view"
 )
 
@@ -157,6 +158,7 @@
 	t            *testing.T
 	acknowledged atomic.Uint64 // sum after the last acknowledged command
 	proofs       atomic.Uint64
+	proved       chan struct{} // signalled with each proof
 }
 
 // propose adds one again and again until ctx ends, with pauses so that nothing is under way now and then.
@@ -165,7 +167,7 @@
 		if result, err := m.node.Propose(ctx, number(1)); err == nil {
 			p.acknowledged.Store(binary.LittleEndian.Uint64(result))
 		}
-		time.Sleep(time.Millisecond)
+		pause.For(ctx, time.Millisecond)
 	}
 }
 
@@ -177,6 +179,7 @@
 			continue
 		}
 		p.proofs.Add(1)
+		notify(p.proved)
 		if after := m.applied(); after < before {
 			p.t.Errorf("applied sum: got %d, want at least %d, which was acknowledged before", after, before)
 		}
@@ -188,7 +191,7 @@
 func TestConfirmCurrentLacksNothing(t *testing.T) {
 	const rounds, each = 4, 150 * time.Millisecond
 	c := newWholeCluster(t)
-	checker := &proofChecker{t: t}
+	checker := &proofChecker{t: t, proved: make(chan struct{}, 1)}
 	checker.acknowledged.Store(1)
 	for round := range rounds {
 		lost := c.members[round%len(c.members)]
@@ -204,7 +207,10 @@
 		for _, m := range others {
 			working.Go(func() { checker.prove(ctx, m) })
 		}
-		time.Sleep(each / 3)
+		select { // the member is lost while the others are at work
+		case <-checker.proved:
+		case <-ctx.Done():
+		}
 		c.close(lost)
 		c.announce()
 		working.Wait()
--- a/internal/driver/driver_test.go
+++ b/internal/driver/driver_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"runtime"
 	"slices"
 	"testing"
 	"time"
@@ -105,7 +106,7 @@
 		if time.Now().After(deadline) {
 			t.Fatal("Do after the end of the context: got true, want false")
 		}
-		time.Sleep(time.Millisecond)
+		runtime.Gosched()
 	}
 	d.Do(func(time.Duration) { machine.events = append(machine.events, "late") })
 	expectNoEvent(t, performed)
