--- a/internal/peer/dial.go
+++ b/internal/peer/dial.go
@@ -31,7 +31,7 @@
 		if restarts == maxDialRestarts {
 			peerUp = nil
 		}
-		socket, failure, interrupted := dialUnlessUp(ctx, attempts[i], peerUp, dial)
+		socket, interrupted, failure := dialUnlessUp(ctx, attempts[i], peerUp, dial)
 		switch {
 		case failure == nil:
 			return socket, nil
@@ -49,7 +49,7 @@
 // dialUnlessUp dials with a timeout, and gives up when the peer is reported to be up.
 func dialUnlessUp(
 	ctx context.Context, patience time.Duration, peerUp <-chan struct{}, dial dialFunc,
-) (socket net.Conn, err error, interrupted bool) {
+) (socket net.Conn, interrupted bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, patience)
 	defer cancel()
 	ended := make(chan struct{})
@@ -64,7 +64,7 @@
 		}
 	}()
 	socket, err = dial(ctx)
-	return socket, err, reported.Load()
+	return socket, reported.Load(), err
 }
 
 // isTimeout reports whether an error is a timeout of the network.
