--- a/internal/batch/batchwire/batchwire.capnp
+++ b/internal/batch/batchwire/batchwire.capnp
@@ -44,7 +44,7 @@
   lastEvent @6 :Text;
 }
 
-struct Take {
+struct Submit {
   job @0 :Job;
   maxQueuedTokens @1 :Int64;
 }
@@ -54,7 +54,7 @@
   clockElapsed @1 :Int64;
   union {
     tick @2 :Void;
-    take @3 :Take;
+    submit @3 :Submit;
     append @4 :List(Result);
     end @5 :Key;
     drop @6 :List(Key);
@@ -69,7 +69,7 @@
   jobs @4 :UInt32;
 }
 
-struct Piece {
+struct Checkpoint {
   events @0 :UInt32;
   lastEvent @1 :Text;
   content @2 :Data;
@@ -79,7 +79,7 @@
   item @0 :Item;
   state @1 :State;
   content @2 :Data;
-  pieces @3 :List(Piece);
+  checkpoints @3 :List(Checkpoint);
 }
 
 struct JobState {
@@ -87,8 +87,8 @@
   route @1 :Text;
   host @2 :Text;
   ordinal @3 :UInt64;
-  born @4 :Int64;
-  taken @5 :Bool;
+  submittedAt @4 :Int64;
+  submitted @5 :Bool;
   ended @6 :Bool;
   items @7 :List(ItemState);
   positions @8 :List(UInt32);
--- a/internal/batch/batchwire/batchwire.capnp.go
+++ b/internal/batch/batchwire/batchwire.capnp.go
@@ -707,69 +707,69 @@
 	return Key_Future{Future: p.Future.Field(0, nil)}
 }
 
-type Take capnp.Struct
+type Submit capnp.Struct
 
-// Take_TypeID is the unique identifier for the type Take.
-const Take_TypeID = 0xa00c11bf2c5dd585
+// Submit_TypeID is the unique identifier for the type Submit.
+const Submit_TypeID = 0xc24cd4fc9fc4156f
 
-func NewTake(s *capnp.Segment) (Take, error) {
+func NewSubmit(s *capnp.Segment) (Submit, error) {
 	st, err := capnp.NewStruct(s, capnp.ObjectSize{DataSize: 8, PointerCount: 1})
-	return Take(st), err
+	return Submit(st), err
 }
 
-func NewRootTake(s *capnp.Segment) (Take, error) {
+func NewRootSubmit(s *capnp.Segment) (Submit, error) {
 	st, err := capnp.NewRootStruct(s, capnp.ObjectSize{DataSize: 8, PointerCount: 1})
-	return Take(st), err
+	return Submit(st), err
 }
 
-func ReadRootTake(msg *capnp.Message) (Take, error) {
+func ReadRootSubmit(msg *capnp.Message) (Submit, error) {
 	root, err := msg.Root()
-	return Take(root.Struct()), err
+	return Submit(root.Struct()), err
 }
 
-func (s Take) String() string {
-	str, _ := text.Marshal(0xa00c11bf2c5dd585, capnp.Struct(s))
+func (s Submit) String() string {
+	str, _ := text.Marshal(0xc24cd4fc9fc4156f, capnp.Struct(s))
 	return str
 }
 
-func (s Take) EncodeAsPtr(seg *capnp.Segment) capnp.Ptr {
+func (s Submit) EncodeAsPtr(seg *capnp.Segment) capnp.Ptr {
 	return capnp.Struct(s).EncodeAsPtr(seg)
 }
 
-func (Take) DecodeFromPtr(p capnp.Ptr) Take {
-	return Take(capnp.Struct{}.DecodeFromPtr(p))
+func (Submit) DecodeFromPtr(p capnp.Ptr) Submit {
+	return Submit(capnp.Struct{}.DecodeFromPtr(p))
 }
 
-func (s Take) ToPtr() capnp.Ptr {
+func (s Submit) ToPtr() capnp.Ptr {
 	return capnp.Struct(s).ToPtr()
 }
-func (s Take) IsValid() bool {
+func (s Submit) IsValid() bool {
 	return capnp.Struct(s).IsValid()
 }
 
-func (s Take) Message() *capnp.Message {
+func (s Submit) Message() *capnp.Message {
 	return capnp.Struct(s).Message()
 }
 
-func (s Take) Segment() *capnp.Segment {
+func (s Submit) Segment() *capnp.Segment {
 	return capnp.Struct(s).Segment()
 }
-func (s Take) Job() (Job, error) {
+func (s Submit) Job() (Job, error) {
 	p, err := capnp.Struct(s).Ptr(0)
 	return Job(p.Struct()), err
 }
 
-func (s Take) HasJob() bool {
+func (s Submit) HasJob() bool {
 	return capnp.Struct(s).HasPtr(0)
 }
 
-func (s Take) SetJob(v Job) error {
+func (s Submit) SetJob(v Job) error {
 	return capnp.Struct(s).SetPtr(0, capnp.Struct(v).ToPtr())
 }
 
 // NewJob sets the job field to a newly
 // allocated Job struct, preferring placement in s's segment.
-func (s Take) NewJob() (Job, error) {
+func (s Submit) NewJob() (Job, error) {
 	ss, err := NewJob(capnp.Struct(s).Segment())
 	if err != nil {
 		return Job{}, err
@@ -778,31 +778,31 @@
 	return ss, err
 }
 
-func (s Take) MaxQueuedTokens() int64 {
+func (s Submit) MaxQueuedTokens() int64 {
 	return int64(capnp.Struct(s).Uint64(0))
 }
 
-func (s Take) SetMaxQueuedTokens(v int64) {
+func (s Submit) SetMaxQueuedTokens(v int64) {
 	capnp.Struct(s).SetUint64(0, uint64(v))
 }
 
-// Take_List is a list of Take.
-type Take_List = capnp.StructList[Take]
+// Submit_List is a list of Submit.
+type Submit_List = capnp.StructList[Submit]
 
-// NewTake creates a new list of Take.
-func NewTake_List(s *capnp.Segment, sz int32) (Take_List, error) {
+// NewSubmit creates a new list of Submit.
+func NewSubmit_List(s *capnp.Segment, sz int32) (Submit_List, error) {
 	l, err := capnp.NewCompositeList(s, capnp.ObjectSize{DataSize: 8, PointerCount: 1}, sz)
-	return capnp.StructList[Take](l), err
+	return capnp.StructList[Submit](l), err
 }
 
-// Take_Future is a wrapper for a Take promised by a client call.
-type Take_Future struct{ *capnp.Future }
+// Submit_Future is a wrapper for a Submit promised by a client call.
+type Submit_Future struct{ *capnp.Future }
 
-func (f Take_Future) Struct() (Take, error) {
+func (f Submit_Future) Struct() (Submit, error) {
 	p, err := f.Future.Ptr()
-	return Take(p.Struct()), err
+	return Submit(p.Struct()), err
 }
-func (p Take_Future) Job() Job_Future {
+func (p Submit_Future) Job() Job_Future {
 	return Job_Future{Future: p.Future.Field(0, nil)}
 }
 
@@ -811,25 +811,25 @@
 
 const (
 	Command_Which_tick   Command_Which = 0
-	Command_Which_take   Command_Which = 1
+	Command_Which_submit Command_Which = 1
 	Command_Which_append Command_Which = 2
 	Command_Which_end    Command_Which = 3
 	Command_Which_drop   Command_Which = 4
 )
 
 func (w Command_Which) String() string {
-	const s = "ticktakeappendenddrop"
+	const s = "ticksubmitappendenddrop"
 	switch w {
 	case Command_Which_tick:
 		return s[0:4]
-	case Command_Which_take:
-		return s[4:8]
+	case Command_Which_submit:
+		return s[4:10]
 	case Command_Which_append:
-		return s[8:14]
+		return s[10:16]
 	case Command_Which_end:
-		return s[14:17]
+		return s[16:19]
 	case Command_Which_drop:
-		return s[17:21]
+		return s[19:23]
 
 	}
 	return "Command_Which(" + strconv.FormatUint(uint64(w), 10) + ")"
@@ -905,33 +905,33 @@
 
 }
 
-func (s Command) Take() (Take, error) {
+func (s Command) Submit() (Submit, error) {
 	if capnp.Struct(s).Uint16(16) != 1 {
-		panic("Which() != take")
+		panic("Which() != submit")
 	}
 	p, err := capnp.Struct(s).Ptr(0)
-	return Take(p.Struct()), err
+	return Submit(p.Struct()), err
 }
 
-func (s Command) HasTake() bool {
+func (s Command) HasSubmit() bool {
 	if capnp.Struct(s).Uint16(16) != 1 {
 		return false
 	}
 	return capnp.Struct(s).HasPtr(0)
 }
 
-func (s Command) SetTake(v Take) error {
+func (s Command) SetSubmit(v Submit) error {
 	capnp.Struct(s).SetUint16(16, 1)
 	return capnp.Struct(s).SetPtr(0, capnp.Struct(v).ToPtr())
 }
 
-// NewTake sets the take field to a newly
-// allocated Take struct, preferring placement in s's segment.
-func (s Command) NewTake() (Take, error) {
+// NewSubmit sets the submit field to a newly
+// allocated Submit struct, preferring placement in s's segment.
+func (s Command) NewSubmit() (Submit, error) {
 	capnp.Struct(s).SetUint16(16, 1)
-	ss, err := NewTake(capnp.Struct(s).Segment())
+	ss, err := NewSubmit(capnp.Struct(s).Segment())
 	if err != nil {
-		return Take{}, err
+		return Submit{}, err
 	}
 	err = capnp.Struct(s).SetPtr(0, capnp.Struct(ss).ToPtr())
 	return ss, err
@@ -1048,8 +1048,8 @@
 	p, err := f.Future.Ptr()
 	return Command(p.Struct()), err
 }
-func (p Command_Future) Take() Take_Future {
-	return Take_Future{Future: p.Future.Field(0, nil)}
+func (p Command_Future) Submit() Submit_Future {
+	return Submit_Future{Future: p.Future.Field(0, nil)}
 }
 func (p Command_Future) End() Key_Future {
 	return Key_Future{Future: p.Future.Field(0, nil)}
@@ -1159,107 +1159,107 @@
 	return SnapshotHeader(p.Struct()), err
 }
 
-type Piece capnp.Struct
+type Checkpoint capnp.Struct
 
-// Piece_TypeID is the unique identifier for the type Piece.
-const Piece_TypeID = 0xf52724ee66c2b7e3
+// Checkpoint_TypeID is the unique identifier for the type Checkpoint.
+const Checkpoint_TypeID = 0xdd2672272756804d
 
-func NewPiece(s *capnp.Segment) (Piece, error) {
+func NewCheckpoint(s *capnp.Segment) (Checkpoint, error) {
 	st, err := capnp.NewStruct(s, capnp.ObjectSize{DataSize: 8, PointerCount: 2})
-	return Piece(st), err
+	return Checkpoint(st), err
 }
 
-func NewRootPiece(s *capnp.Segment) (Piece, error) {
+func NewRootCheckpoint(s *capnp.Segment) (Checkpoint, error) {
 	st, err := capnp.NewRootStruct(s, capnp.ObjectSize{DataSize: 8, PointerCount: 2})
-	return Piece(st), err
+	return Checkpoint(st), err
 }
 
-func ReadRootPiece(msg *capnp.Message) (Piece, error) {
+func ReadRootCheckpoint(msg *capnp.Message) (Checkpoint, error) {
 	root, err := msg.Root()
-	return Piece(root.Struct()), err
+	return Checkpoint(root.Struct()), err
 }
 
-func (s Piece) String() string {
-	str, _ := text.Marshal(0xf52724ee66c2b7e3, capnp.Struct(s))
+func (s Checkpoint) String() string {
+	str, _ := text.Marshal(0xdd2672272756804d, capnp.Struct(s))
 	return str
 }
 
-func (s Piece) EncodeAsPtr(seg *capnp.Segment) capnp.Ptr {
+func (s Checkpoint) EncodeAsPtr(seg *capnp.Segment) capnp.Ptr {
 	return capnp.Struct(s).EncodeAsPtr(seg)
 }
 
-func (Piece) DecodeFromPtr(p capnp.Ptr) Piece {
-	return Piece(capnp.Struct{}.DecodeFromPtr(p))
+func (Checkpoint) DecodeFromPtr(p capnp.Ptr) Checkpoint {
+	return Checkpoint(capnp.Struct{}.DecodeFromPtr(p))
 }
 
-func (s Piece) ToPtr() capnp.Ptr {
+func (s Checkpoint) ToPtr() capnp.Ptr {
 	return capnp.Struct(s).ToPtr()
 }
-func (s Piece) IsValid() bool {
+func (s Checkpoint) IsValid() bool {
 	return capnp.Struct(s).IsValid()
 }
 
-func (s Piece) Message() *capnp.Message {
+func (s Checkpoint) Message() *capnp.Message {
 	return capnp.Struct(s).Message()
 }
 
-func (s Piece) Segment() *capnp.Segment {
+func (s Checkpoint) Segment() *capnp.Segment {
 	return capnp.Struct(s).Segment()
 }
-func (s Piece) Events() uint32 {
+func (s Checkpoint) Events() uint32 {
 	return capnp.Struct(s).Uint32(0)
 }
 
-func (s Piece) SetEvents(v uint32) {
+func (s Checkpoint) SetEvents(v uint32) {
 	capnp.Struct(s).SetUint32(0, v)
 }
 
-func (s Piece) LastEvent() (string, error) {
+func (s Checkpoint) LastEvent() (string, error) {
 	p, err := capnp.Struct(s).Ptr(0)
 	return p.Text(), err
 }
 
-func (s Piece) HasLastEvent() bool {
+func (s Checkpoint) HasLastEvent() bool {
 	return capnp.Struct(s).HasPtr(0)
 }
 
-func (s Piece) LastEventBytes() ([]byte, error) {
+func (s Checkpoint) LastEventBytes() ([]byte, error) {
 	p, err := capnp.Struct(s).Ptr(0)
 	return p.TextBytes(), err
 }
 
-func (s Piece) SetLastEvent(v string) error {
+func (s Checkpoint) SetLastEvent(v string) error {
 	return capnp.Struct(s).SetText(0, v)
 }
 
-func (s Piece) Content() ([]byte, error) {
+func (s Checkpoint) Content() ([]byte, error) {
 	p, err := capnp.Struct(s).Ptr(1)
 	return []byte(p.Data()), err
 }
 
-func (s Piece) HasContent() bool {
+func (s Checkpoint) HasContent() bool {
 	return capnp.Struct(s).HasPtr(1)
 }
 
-func (s Piece) SetContent(v []byte) error {
+func (s Checkpoint) SetContent(v []byte) error {
 	return capnp.Struct(s).SetData(1, v)
 }
 
-// Piece_List is a list of Piece.
-type Piece_List = capnp.StructList[Piece]
+// Checkpoint_List is a list of Checkpoint.
+type Checkpoint_List = capnp.StructList[Checkpoint]
 
-// NewPiece creates a new list of Piece.
-func NewPiece_List(s *capnp.Segment, sz int32) (Piece_List, error) {
+// NewCheckpoint creates a new list of Checkpoint.
+func NewCheckpoint_List(s *capnp.Segment, sz int32) (Checkpoint_List, error) {
 	l, err := capnp.NewCompositeList(s, capnp.ObjectSize{DataSize: 8, PointerCount: 2}, sz)
-	return capnp.StructList[Piece](l), err
+	return capnp.StructList[Checkpoint](l), err
 }
 
-// Piece_Future is a wrapper for a Piece promised by a client call.
-type Piece_Future struct{ *capnp.Future }
+// Checkpoint_Future is a wrapper for a Checkpoint promised by a client call.
+type Checkpoint_Future struct{ *capnp.Future }
 
-func (f Piece_Future) Struct() (Piece, error) {
+func (f Checkpoint_Future) Struct() (Checkpoint, error) {
 	p, err := f.Future.Ptr()
-	return Piece(p.Struct()), err
+	return Checkpoint(p.Struct()), err
 }
 
 type ItemState capnp.Struct
@@ -1354,25 +1354,25 @@
 	return capnp.Struct(s).SetData(1, v)
 }
 
-func (s ItemState) Pieces() (Piece_List, error) {
+func (s ItemState) Checkpoints() (Checkpoint_List, error) {
 	p, err := capnp.Struct(s).Ptr(2)
-	return Piece_List(p.List()), err
+	return Checkpoint_List(p.List()), err
 }
 
-func (s ItemState) HasPieces() bool {
+func (s ItemState) HasCheckpoints() bool {
 	return capnp.Struct(s).HasPtr(2)
 }
 
-func (s ItemState) SetPieces(v Piece_List) error {
+func (s ItemState) SetCheckpoints(v Checkpoint_List) error {
 	return capnp.Struct(s).SetPtr(2, v.ToPtr())
 }
 
-// NewPieces sets the pieces field to a newly
-// allocated Piece_List, preferring placement in s's segment.
-func (s ItemState) NewPieces(n int32) (Piece_List, error) {
-	l, err := NewPiece_List(capnp.Struct(s).Segment(), n)
+// NewCheckpoints sets the checkpoints field to a newly
+// allocated Checkpoint_List, preferring placement in s's segment.
+func (s ItemState) NewCheckpoints(n int32) (Checkpoint_List, error) {
+	l, err := NewCheckpoint_List(capnp.Struct(s).Segment(), n)
 	if err != nil {
-		return Piece_List{}, err
+		return Checkpoint_List{}, err
 	}
 	err = capnp.Struct(s).SetPtr(2, l.ToPtr())
 	return l, err
@@ -1513,19 +1513,19 @@
 	capnp.Struct(s).SetUint64(0, v)
 }
 
-func (s JobState) Born() int64 {
+func (s JobState) SubmittedAt() int64 {
 	return int64(capnp.Struct(s).Uint64(8))
 }
 
-func (s JobState) SetBorn(v int64) {
+func (s JobState) SetSubmittedAt(v int64) {
 	capnp.Struct(s).SetUint64(8, uint64(v))
 }
 
-func (s JobState) Taken() bool {
+func (s JobState) Submitted() bool {
 	return capnp.Struct(s).Bit(128)
 }
 
-func (s JobState) SetTaken(v bool) {
+func (s JobState) SetSubmitted(v bool) {
 	capnp.Struct(s).SetBit(128, v)
 }
 
@@ -1604,115 +1604,116 @@
 	return Key_Future{Future: p.Future.Field(0, nil)}
 }
 
-const schema_d6a1c5f2b7e03914 = "x\xda\x9cVmh\x14\xdb\x19~\xdfs\xf6+a\xd7" +
-	"\xdd\xe9\xac?\x04\xed\x96\"\xfd\xb0Z\xfchi\x0c-" +
-	"\x91\x94\x14\xb5R=Y\x8b\x1f4\xd0\xd9\x9d\xa3\x99d" +
-	"wf\xd9\x9d$\x0a-\xd1b\xd0\x80\xd2J+XZ" +
-	"\xc1H\x0bUZ\xac\xb6\xc5*\x86Z\xf1#\x16\x85*" +
-	"\xd8V+T\xb1\x97+\x17\xaf\xf7*\x0a\xe6\xde\xe4\xce" +
-	"\xe5\x9d\xc9\xce\x0c\x9b\x0dx\xef\xbf\x99w\x9f9\xe7=" +
-	"\xcf\xfb<\xcf\xd9\xe5\x0b\"k\"+R\xfb\xa3\xc0\xc4" +
-	"\x9ah\xcc9\xbcsK\xe2\x7f\xf7\xaf\xef\x07%\x83N" +
-	"v\xf5\xc3s/\xae\x8e\xfd\x0b\xa2\x918\x80z\x92\x9d" +
-	"P\xcf0z\xfa\x03{\x1b\xd0\x19\xb9\xdb\xb3\xf4oJ" +
-	"\xf28\x88\x0c\x86\xc1H\x90\xc3\xfc\x94\xfaKNOG" +
-	"\xf8\x10\xa0\xf3\xf4\xe7\xab&r\xe3\xe3c\x0d\x0b\xbb\xcb" +
-	"\xbd\xe2\x17\xd4i\x17;\xe9b\xe7\xdf}\xf1\xce\xb1o" +
-	"\xf6\x9f\xa6\x85y\x00\xee\xc2x\x14\x13\xea\xf7#\x97\xd5" +
-	"\x1ejh\xd5\xb6\xc8O\x11\xd0\x99\xfc\xc6\xbd\xe7[\x0f" +
-	"_;\xdd\xd8\x87\xdbtK\xec\x94\xaa\xc4\x08\x9d\x8a\xe5" +
-	"\x08}\xb2\xf3\xc0\x82\xdf\x8f}\xe6|\xb3FV\xc4O" +
-	"\xa8\xab\xe3\xf4\xf4\xf585\xf2\x95\xa9\xb6\xcf^\xeb\xf9" +
-	"\xc2\xc5\xc6\x95\xbds\xc5\xef\xa8c.\xf8X\x9c\xe8\x18" +
-	"\xbd\xfdh\xeb\xe0\xf33w@\xc9\xb0\x00\x0b\xa8\xeeM" +
-	"\x9cUG\x13\x04\x1cIl\x04t\xb6M^\xbfq\xe7" +
-	"WO\xee\xd1\xaa\xacq\xd5\xb1\xc4\x05\xf5$\x81W\xfd" +
-	"6\xe1\x9e\xee\xdf\x7f\xda\xf2\x9d\xff&n?h #" +
-	"\x1au\x1bn\xfd\x87\xfa\xadVB\xafnu\x08\xdd\xd6" +
-	"\xfa\xf8\xfe\xb3\xe9\x89\xf7\x08\x1d\x0d\xd0.\x15=\xc9\x0f" +
-	"T#I`\x99t\xa9x|\xee\xf2\x8eg\x8b\xbf\xf8" +
-	"\xaa\xf1x.\x17#\xa9\xb3\xea\xa1\x14=\x8d\xa6N\xc3" +
-	"2\xa7\xa0\xd9\xc5\xde!\xa3\x8a\xf2\xabE\xadbV\xda" +
-	"\xe3\xeb\xad\xc2&D\x91\xe1\x11\x80\x08\x02(\xda\xe7\x01" +
-	"\xc4\x0f8\x8a^\x86\x0ab\x16\xa9(W\x02\x88\x1fr" +
-	"\x14%\x86\x0acYd\x00\x8a\xb1\x04@\xe8\x1cE\x85" +
-	"\xa1\xc2y\x169\x80R&d/G\xb1\x8fa\xbc_" +
-	"\xee\xc6L0,@\xcc\x00\xe6\xaa\xd6\x80-1\x09\x0c" +
-	"\x93\x80\xe9^\xabf\xd7_r\x86-\xcb5\x9c\x07\xb8" +
-	"\x89#f\x02Q\x00Rqv\xfb\xe9\xcdZ\xbf\xa4\xfe" +
-	"\x13~\xff_\xa6\xfe\x17s\x14\xcb\x19\xd6\xdb_\xf6\x13" +
-	"\x00\xb1\x94\xa3hc\x18\xef\xb3\x0a\x98\x09<\xe25\xe5" +
-	"\x94\xb5]b@\x0eH\xd47[\xfd\xd2\xac\x01F\x81" +
-	"a\xb4\xd9\xa6\x1dk\xa5\xa6\xcbj\xc3\xb6K\x82m}" +
-	"\xda\x96\x11\x19_\xe2(\xbe\xc60mje\xff\xd4\xb9" +
-	"A\xad4\xe0\xbf\xf9[\xb0\xfa\x16\xdf\xb6\xcae\xcd\xd4" +
-	"\x81\xf6X\xe8\xef\xf1\x97\x02\x80\xf83Gq)\xb4\xc7" +
-	"x\x1f\x80\xb8\xc8QL0L1\xc7\xf1fs\x95\xda" +
-	"\xb9\xc4Q\xdcd\x98\xe2\x1f9\xdepnP\xf5\x0aG" +
-	"\xf1O\x86\xa9\xc8\xb4\x93\xc5\x08\x80r\xab\x1d@Lp" +
-	"\x14\xffg\x98\x8aN9Y\x8c\x02(\x8f\x88\xc7\x07\x1c" +
-	"\xc5\x13\x86\xa9\xd8\x87N\x16c\x00\xca[\xb4\xc2C\x8e" +
-	"b\x8a\xa1S,Y\xc5\xfe\xbc5\x00\xf1jQb\x0b" +
-	"0l\x81\x99jWI\x83t\xa5&\xf5:\x8di\xdb" +
-	"(\xf6C,mk\xfd\x123A\xecx\xf4wh\x95" +
-	"\x8a4\xf5`\xf2\xbe\xbd\xbc\xc9\xc7\xe9\xc7YJJ\xeb" +
-	"U\xab\x12|\x13\xfe\xb5\xb9Z\xd6\xd9\xb2L\x94f}" +
-	"J\x7f\xbc\x1d@\xfc\x88\xa38\x10\xa2t\x84\x0e\xb9\x87" +
-	"\xa38\x18R\xfbh'\x80\xd8\xc7Q\x1c\x0f\xa9\xfd\x18" +
-	"!\x8fr\x14\xbfa\x88\x11\x8f\xce1\xa2\xf3\xd7\x1c\xc5" +
-	"\xef\x18:\x86.M\xdb\xd8a\x00\x97U_\xf2\x15\xcd" +
-	"\xee\xad\xbf\x0c\xf7\xbab\x0a\x89\xde\x0fY\xef\x18\xe9\x82" +
-	"\xa5\xef\xc6\x140L\x01v\xd8\xae8\xe7\xd6f\xfc\xbb" +
-	"rw\x830\xdb\x9b\x09s{`\x88\x0e[\x9a\x9a\xe9" +
-	"{\xb0i\xcb\xb3\x15JT\xe6m\xcdF\xd9\x10\x1fK" +
-	"\x82\xf8h\x9e\x1e8\x93\x1e\x9d\xe1\xf4`3\xe9\xd1\x1e" +
-	"\xa4G\x9a\xc2\xa0!\x04(>j\xb6fKL\x07Q" +
-	"\x0d\x88i\xc0\xe1\xa2e\xda\xd2\xb4}\xaa*\x86,\xca" +
-	"\x10\xaf~P\xce%\x8f\x1c\x9d\xc7=N\xd2\xedpQ" +
-	"'A\x95\xf9\xdd\x00\xc8\x14\xa5\x1b`xH3l\xc3" +
-	"\xdc\xe9\x14\xadr\xa5$m\x09\xa8;ZA3u\xcb" +
-	"t\x9fggE\xb7\xac\x0d\x94\xec\x06\x1f\x93\xb5\xfe\xc8" +
-	"Q\\\x0c8:\xbf2\xe4\xed\xba\xe6\xc6\xa9\xf8W\x8e" +
-	"\xe2\x0aq\x84\x1eG\x7f\xef\x0c\x0c\xafD\x98'\xba\xb0" +
-	"\xdf\x95(\xf7,|\xa3=\xb0\xbb\x12c\x9e\x83ou" +
-	"\x03\x88\x9b\x1c\xc5\x7f\xe6\x0ch\xc3\xd4\xe5.L\x00\xc3" +
-	"\xc4\x9b\xf3\x9d\xdeQ\xb5\xca\xf5\x8f:\xe4\xa04\xedZ" +
-	"\xfd\xd5)i5\xbbkP\x9a\x80\xf6\xdc\x92Zo\x15" +
-	"\xdc\x09\x80\x1b{\x8b}\xba\xde%\xba\x9ep\x14/C" +
-	"\x0a~N\xd4<\xe5(^\x87\xf8zE,\xbc\xef\xa5" +
-	"\x13\xceXt\x92\xe8z\xc9\xb1\x1b\x89.\xf4\xe8\x9a&" +
-	"\xe0k\x8e\xf9\x08U\xa3{\\\xbeTDZt\x8ac" +
-	">A\xe5\xd8^\x9715J\xe5n\xe4\x98OR9" +
-	"\xce\xb3\xee\x9f\xa3\x16*\xe7#T\xff\x1c\xd5\x13\x91," +
-	"&\x00\xd4E\xd8\x0d\x90_H\xf56\xfc\x14\x97\xe0\xb0" +
-	"U\xd5\x0dS+\xd5\x035]\xb0\xaaf\xdd\xf19\xca" +
-	"O\x13\x11\x18\"`N\x9a\xba\xd4\xfd\xb7\x86\xdb\xd3\xff" +
-	"\xe33#\xf8\x8aU3l\xc32\x01}\x10\xcdg^" +
-	"\xb3Y\xe4M\xadR\xeb\xb5\xec\xd0]\x17\x0a\xcdB\xb3" +
-	"\xd0\xec\x9b\xc9\xc7\x9f\x85\x06rh=\x808\xc8Q\x1c" +
-	"\x0d\x85\xe6\x11\xfa\xfc\x173I\x1aIx\x13\x09'\xe9" +
-	"'\xbaX\xbc\xf2\xf7\xac!\x80\xe0\xce6\xe5.{c" +
-	"U7 \x1e&\xb2\xcf*\x04\x92\x9cm\xffM\x14\x18" +
-	"\xae\xfd\xfd\x93v\x91\x83\xd6p\x14\x1b\x02\xa7\xae#\x03" +
-	"\xad\xe5(6\x87\xd2L\x90\xca6p\x14[\xd9\x9b\x88" +
-	"\xbf\xd1<\x1f\x07\x00\x00\xff\xff\xf7\x86\xc3\xc9"
+const schema_d6a1c5f2b7e03914 = "x\xda\x9cV}\x8c\x13[\x15?\xe7\xdeN;o\xd3" +
+	"\xbev\x9c\xee\x1f/\xf1\xd9\xf8\x82\xef\x01\x8a\xe1C#" +
+	"\x10\xc9.k\xd6\x00\xa2p\xb7D\xd0h\xe2\xb4s\xa1" +
+	"\xb3\xdb\xce\xd4v\xba\x0b\x89f\xd1@\x80\x04\xa2DI" +
+	"0Jt\x89$b$\x88\x1fQ\x08\x9b \xe1c1" +
+	"\x90\x08\x11\x15\xc4\x08Q#1\xf8\xb1\x04\x12W\x17\xc7" +
+	"\x9c\x99\xee\xcc\xa4\xdbM\xd0\xff\xee\x9c\x9e\xde9\xe7\xf7" +
+	"\xfb\x9d\xdf\x99\xe5\xaf'\xfa\x13+2\x07\x14`\xa2_" +
+	"IzGwmW\x7f\x7f\xff\xfa\x01\xd0r\xe8\xe5\xd7" +
+	"<\xfc\xc9\xd3\xab\x13\xbf\x02%\x91\x02\xd0O\xb3\x93\xfa" +
+	"9F\xa73\xec\xcf\x80\xde\x93\xaf\xac\x9a*LNN" +
+	"t\xe4\xfa\x19G\xf9\x05\xfdk\x9cN\xc7\xf8\x18\xa0\xd7" +
+	"{\xf7\xe9_N|p\xe4,\x88\x1c\xf2(y\x10S" +
+	"\x0a\xaa\xfa4\xbf\xac\xcfP\xf6\xaa\xe7\xfcK\x08\xe8\xcd" +
+	"|\xe0\xde\xf4\x8e\xa3\xd7\xfc\xf4yu\x9cR\xbe\xab\x9f" +
+	"Q(\xfb\xb4R\xa0\xec\xd3\x03\x07_\xfb\xde\xc4\xdb\xce" +
+	"w+\xe4V\xf2\xa4~7I\xa7\xdbI*\xe4\xdd\xb3" +
+	"\xab\xdfq\xed\xd3o^\xec\xbc\xd9\xafuE\xea\x8e\xbe" +
+	".E\xa75)\xea\xd0\xe9\xbd\xf2\xcd\xd9_n\xbe\xdc" +
+	"\x99\x8c\x94\xf2N\xf5\x82\xbeD\xa5\xd3\xbbT\xba\xf9\xd0" +
+	"\xedG;F\xa7\xcf\xdd\x01-\xc7\xa2\\@}\xbf\xfa" +
+	"\x03\xfd\x88\x9fxH\xdd\x02\xe8}b\xe6\xfa\x8d;_" +
+	"\x7f|\x8fne\x9d%\x9cR/\xe8gT\xbf9\xd5" +
+	"\x87\xe2\xd7?\xdc\xfe\xe1\xdf\xaa\xb7\x1ft \xa7\x10\x00" +
+	"\xfa\xfb{~\xae\xaf\xef\xa1\xecu=\x1ee\x7ft\xef" +
+	"\xc7\xdfz\xab\xf1\xe6\xef:+\xf6\xb1\xb0\xd2\xf7\xf5V" +
+	"\x9aN\x9fM\x9f\x05\xf4V\xf7\xfc\xe1\xfe\xdf^L\xfd" +
+	"\x9d\x92\x95(\xd9\x079\x93\xf9\x97\xfeZ\x86n\xee\xcd" +
+	"\x14\x10\x96y%\xc3-W\xc6\xac\x06\xca\xf7\x96\x8d\xba" +
+	"]_\x9b\xda\xe4\x94\xb6\"\x8a\x1cO\x00$\x10@3" +
+	"\xde\x00\x10\x9f\xe2(*\x0c5\xc4<RP\xae\x04\x10" +
+	"\x9f\xe1(\xaa\x0c5\xc6\xf2\xc8\x004k)\x8009" +
+	"\x8a:C\x8d\xf3<r\x00\xadF\x99\x15\x8eb\x1f\xc3" +
+	"\xd4\x88\xdc\x83\xb9\x88Y@\xcc\x01\x16\x1aN\xcb\x95\x98" +
+	"\x06\x86i\xc0l\xc5i\xbas\x0f\x05\xcb\x95\xb5&\xbe" +
+	"\x0a\xb8\x95#\xe6\"\x05\x01Rp~\xf9}\x1b\xa4a" +
+	"\xca\x06u\xa0\x86\x1d,\xa1\xba\x16q\x14\xcbc\x1d," +
+	"\xa3\xba\x16s\x14\xefc\x98\xb5\x8dZX@a\xd4\xa8" +
+	"\xb6\xc2\xa7\xf0\x15l\xee\x15\x1frj5\xc36\x81\xde" +
+	"\xf1\xf6\xf0\x1d?.\x01\x88\x1fq\x14\x97b\xef\x98\x1c" +
+	"\x06\x10\x179\x8a)\x86\x19\xe6y\x01LW\xa9\x9cK" +
+	"\x1c\xc5M\x86\x19\xfe\x1f/\xc0\xe9\xc6Z\x00q\x85\xa3" +
+	"\xf8\x05\xc3L\xe2\x85\x97\xc7\x04\x80v\x8b\xa2S\x1c\xc5" +
+	"\x1f\x19f\x94Y/\x8f\x0a\x80\xf6\x88(y\xc0Q<" +
+	"f\x98I\xfe\xdb\xcbc\x12@\xfb\x13\xdd\xfb\x90\xa3\x98" +
+	"e\xe8\x95\xabNy\xa4\xe8\xb4 \xd5(K|\x05\x18" +
+	"\xbe\x02\xed\xe8`\xd5\x80l\xbd)MT\x80\xa1\x02\x98" +
+	"u\xad\xf2\x08$\xfb\x9a\xadR\xcdr1\x17MH@" +
+	"P\x9fQ\xafK\xdb\x8ch\x08\xb5\x1e\xd0\x90\xa2\x1f\xe7" +
+	"\xd1\x9a5\x1bN=\xfaO\xfc\xd7\xae\xd4e7\xba\xb2" +
+	"F\xa0\xe6CP?\xffI\x00\xf19\x8e\xe2`\x0c\xd4" +
+	"\xfd\xd4\xe6^\x8e\xe2pLz\x87\x06\x00\xc4>\x8e\xe2" +
+	"[1\xe9\x9d\xa0\xcc\xe3\x1c\xc5\xb7\x19b\"\x00t\x82" +
+	"\x00\xfd\x06G\xf1\x1d\x86\x9eeJ\xdb\xb5vZ\xc0e" +
+	"#\xd4_\xddp+s\x0f\xe3\x15_N1\x05\x86\xf6" +
+	"\x18\xb4\x91-9\xe6\x1e\xcc\x00\xc3\x0c`\x9f\xeb\x8cH" +
+	"\xbb9\x07k\x97\xe1\xfa\x88\xdc\xd3!\xcd\xb5\xdd\xa4I" +
+	"m\xbf\x87\xa3X\xcd\xb0\xcf\x95\xb6a\x87\x03\xd1\xb5\xe4" +
+	"\xf9\x1a%(\x8b\xae\xe1\xa2\xec\x98\xe5\xa5\xd1,w\x1f" +
+	"el\x8f\xf2@|\x94Y{\x94I\xe3\xd5\x80\x8e," +
+	"Mf\xc7D\xd2,7]\xc3\x95\x98\x8d|\x13\x10\xb3" +
+	"\x80\xe3e\xc7v\xa5\xed\xceA\xe5\x95+\xb2<Rw" +
+	",H\xd9n\x0c\xde\xd0\xe9\x16\x1c\xf0\xa2/\xd2\x0e\x14" +
+	"\xdf\x88P\x0cA\xfcb\x04bj\xd8)a.Z\x83" +
+	"A\xad^\xcd\xd8-Z\xb2%\xd1\xdc\xe6\x13\x07\x0b3" +
+	"W 4}0\xd3>>\xaf\x0f\xd0%Z\xef\x10\x00" +
+	"2M\x1b\x02\x18\x1f3,\xd7\xb2wye\xa7V\xaf" +
+	"JW\x02\x9a\x9eQ2l\xd3\xb1\xfd\xf3\xfcV\x86d" +
+	"\xb3Uu;|\x84Z\xf9>Gq1j\xe5\xfc\xca" +
+	"\x98\xb7\xcc)~\x92\x82?\xe5(\xae\x10C\x180\xf4" +
+	"\xb3\x81\xc8p\xb4\x04\x0b$\x1f\xf7\x1bM\xe1\x81\x85\xc4" +
+	"\xedFK\xb2\xc0An\x0d\x01\x88\x9b\x1c\xc5o\x16\xf4" +
+	"j\xcb6\xe5nT\x81\xa1\xfa\xf2lgw6\x9c\xda" +
+	"\xdc\x9f\xfa\xe4\xa8$\xce\xdb\x8f^\xd5h\xba\x83\xa3\xd2" +
+	"\x06t\x17\x16\xf4&\xa7\xe43\x00\xbe\xed.\x0a\xe1\xfa" +
+	"+\xc1\xf5\x98\xa3x\x16\x9b\x9fi\x82\xe6\x09G\xf1\xcf" +
+	"\x18^\xcf\x09\x85\x7f\x04\xee\x88m\x83\x98!\xb8\x9eq" +
+	"\x1cB\x82\x0b\x03\xb8^\x90\xcag9\x16U\x8a*{" +
+	"}\xbct\x05\x87\x00\x8a\x09\xe4X\xccQ<\xf9\x05\x1f" +
+	"2=\x83+\x01\x8a*\xc5\xf3\x14O\xf1\xbc\xff\x1d\xa1" +
+	"\xf9\xf14\xc5\x17S\\M\xe4Q\xa5\xaf\x0a\xff\x9eE" +
+	"\x14\xef\xc7\xffc#\x8e;\x0d\xd3\xb2\x8djh\xe9\x81" +
+	"i\xbb\x12R\xe6z7\x14p\x18E\x13\x11\x18\"`" +
+	"A\xda\xa6\x8c\x9e:6k\xf8\x05\xd5\x1e\xbc\xba\xd3\xb4" +
+	"\\\xcb\xb1\x01\xc3$\"\xec\xd5\xae\x1b\xb1=\xcb\xdc\xf6" +
+	"\xc5\x9c\x0e\xd9\x19$\x91\xf5s\x14\x9b#1o$\x8d" +
+	"m\xe0(\xb6\xc5\xecF\x10\x11\x9b9\x8a\x1d\xece\xf4" +
+	"1\xcfM\xe6\x95T\xb4\x8dz\xb3\xe2\xb8\xb1\xef\x81\xd8" +
+	"Z)u[+\xc3\xed\x0d\xf2\xe5\x98h\x8el\x02\x10" +
+	"\x879\x8a\xe3\xb1\xb5r\x8c\xfe\xfe\xd5\xf6\xaeI\xa8\x81" +
+	"j\xe2\xbb\xe6\x7fZ\xbeA\xf8c\xce\x18@\xe4?\xb6" +
+	"\xdc\xedni\x98\xe4\x8e\x11\xd5\xd9a\xa7\x14\xc2\xf2\xdf" +
+	"\x00\x00\x00\xff\xff}%\xd1\x18"
 
 func RegisterSchema(reg *schemas.Registry) {
 	reg.Register(&schemas.Schema{
 		String: schema_d6a1c5f2b7e03914,
 		Nodes: []uint64{
 			0x87c7dadf08576791,
-			0xa00c11bf2c5dd585,
 			0xa1bdbd1fc83393ec,
 			0xaf6b3c9deaf2d515,
 			0xafc69158f1d937f9,
 			0xb912a1ac198842a9,
 			0xbc265dc61e38fc2b,
+			0xc24cd4fc9fc4156f,
 			0xd2b1f17658e1d189,
 			0xd9e89bd2c9c7f959,
 			0xdcd108db4657b3d7,
+			0xdd2672272756804d,
 			0xefc8fdeedae30a38,
-			0xf52724ee66c2b7e3,
 		},
 		Compressed: true,
 	})
--- a/internal/batch/command_decoding.go
+++ b/internal/batch/command_decoding.go
@@ -26,7 +26,7 @@
 	switch root.Which() {
 	case batchwire.Command_Which_tick:
 		return nil
-	case batchwire.Command_Which_take:
+	case batchwire.Command_Which_submit:
 		return decodeSubmit(root, c)
 	case batchwire.Command_Which_append:
 		return decodeResults(root, c)
@@ -39,7 +39,7 @@
 }
 
 func decodeSubmit(root batchwire.Command, c *Command) error {
-	take, err := root.Take()
+	take, err := root.Submit()
 	if err != nil {
 		return err
 	}
--- a/internal/batch/command_encoding.go
+++ b/internal/batch/command_encoding.go
@@ -46,7 +46,7 @@
 }
 
 func encodeSubmit(root batchwire.Command, s *Submit) error {
-	take, err := root.NewTake()
+	take, err := root.NewSubmit()
 	if err != nil {
 		return err
 	}
--- a/internal/batch/snapshot_decoding.go
+++ b/internal/batch/snapshot_decoding.go
@@ -9,7 +9,7 @@
 )
 
 func decodeCheckpoints(state batchwire.ItemState) (checkpoints, error) {
-	chunks, err := state.Pieces()
+	chunks, err := state.Checkpoints()
 	if err != nil || chunks.Len() == 0 {
 		return nil, err
 	}
@@ -25,7 +25,7 @@
 	return c, nil
 }
 
-func decodeCheckpoint(chunk batchwire.Piece, c *checkpoint) (err error) {
+func decodeCheckpoint(chunk batchwire.Checkpoint, c *checkpoint) (err error) {
 	c.events = chunk.Events()
 	if c.lastEvent, err = chunk.LastEvent(); err != nil {
 		return err
@@ -70,8 +70,8 @@
 func decodeJobState(root batchwire.JobState) (*job, error) {
 	j := &job{
 		ordinal:     root.Ordinal(),
-		submittedAt: time.Duration(root.Born()),
-		submitted:   root.Taken(),
+		submittedAt: time.Duration(root.SubmittedAt()),
+		submitted:   root.Submitted(),
 		ended:       root.Ended(),
 	}
 	key, err := root.Key()
--- a/internal/batch/snapshot_encoding.go
+++ b/internal/batch/snapshot_encoding.go
@@ -39,8 +39,8 @@
 	mustEncode(root.SetRoute(j.route))
 	mustEncode(root.SetHost(j.host))
 	root.SetOrdinal(j.ordinal)
-	root.SetBorn(int64(j.submittedAt))
-	root.SetTaken(j.submitted)
+	root.SetSubmittedAt(int64(j.submittedAt))
+	root.SetSubmitted(j.submitted)
 	root.SetEnded(j.ended)
 	encodeItemStates(root, j)
 	return message
@@ -69,7 +69,7 @@
 	if len(c) == 0 {
 		return
 	}
-	chunks, err := state.NewPieces(int32(len(c)))
+	chunks, err := state.NewCheckpoints(int32(len(c)))
 	mustEncode(err)
 	for i := range c {
 		chunk := chunks.At(i)
--- a/internal/chain/chainwire/chain.capnp
+++ b/internal/chain/chainwire/chain.capnp
@@ -26,7 +26,7 @@
 }
 
 struct Session {
-  life @0 :UInt64;
+  generation @0 :UInt64;
   number @1 :UInt64;
 }
 
@@ -43,21 +43,21 @@
 
 struct History {
   session @0 :Session;
-  life @1 :UInt64;
+  generation @1 :UInt64;
   committed @2 :UInt64;
   runs @3 :List(Run);
 }
 
 struct Start {
   session @0 :Session;
-  life @1 :UInt64;
+  generation @1 :UInt64;
   match @2 :Position;
   target @3 :UInt64;
 }
 
 struct SnapshotPart {
   session @0 :Session;
-  life @1 :UInt64;
+  generation @1 :UInt64;
   position @2 :Position;
   total @3 :UInt64;
   offset @4 :UInt64;
@@ -89,7 +89,7 @@
 struct Record {
   view @0 :Data;
   completeEpoch @1 :UInt64;
-  life @2 :UInt64;
+  generation @2 :UInt64;
 }
 
 struct ProposeRequest {
--- a/internal/chain/envelope_decode.go
+++ b/internal/chain/envelope_decode.go
@@ -56,7 +56,7 @@
 	if err != nil {
 		return Session{}, err
 	}
-	return Session{Generation: r.Life(), Number: r.Number()}, nil
+	return Session{Generation: r.Generation(), Number: r.Number()}, nil
 }
 
 func readPosition(r chainwire.Position, err error) (Position, error) {
@@ -78,7 +78,7 @@
 	if err != nil {
 		return nil, err
 	}
-	m := History{Generation: r.Life(), Committed: r.Committed()}
+	m := History{Generation: r.Generation(), Committed: r.Committed()}
 	if m.Session, err = readSession(r.Session()); err != nil {
 		return nil, err
 	}
@@ -100,7 +100,7 @@
 	if err != nil {
 		return nil, err
 	}
-	m := Start{Generation: r.Life(), Target: r.Target()}
+	m := Start{Generation: r.Generation(), Target: r.Target()}
 	if m.Session, err = readSession(r.Session()); err != nil {
 		return nil, err
 	}
@@ -112,7 +112,7 @@
 	if err != nil {
 		return nil, err
 	}
-	m := SnapshotChunk{Generation: r.Life(), Total: r.Total(), Offset: r.Offset()}
+	m := SnapshotChunk{Generation: r.Generation(), Total: r.Total(), Offset: r.Offset()}
 	if m.Session, err = readSession(r.Session()); err != nil {
 		return nil, err
 	}
--- a/internal/chain/envelope_encode.go
+++ b/internal/chain/envelope_encode.go
@@ -79,7 +79,7 @@
 	if err != nil {
 		return err
 	}
-	w.SetLife(s.Generation)
+	w.SetGeneration(s.Generation)
 	w.SetNumber(s.Number)
 	return nil
 }
@@ -99,7 +99,7 @@
 	if err != nil {
 		return err
 	}
-	w.SetLife(m.Generation)
+	w.SetGeneration(m.Generation)
 	w.SetCommitted(m.Committed)
 	runs, err := w.NewRuns(int32(len(m.Runs)))
 	if err != nil {
@@ -118,7 +118,7 @@
 	if err != nil {
 		return err
 	}
-	w.SetLife(m.Generation)
+	w.SetGeneration(m.Generation)
 	w.SetTarget(m.Target)
 	if err := writePosition(w.NewMatch, m.Match); err != nil {
 		return err
@@ -131,7 +131,7 @@
 	if err != nil {
 		return err
 	}
-	w.SetLife(m.Generation)
+	w.SetGeneration(m.Generation)
 	w.SetTotal(m.Total)
 	w.SetOffset(m.Offset)
 	if err := w.SetData(m.Data); err != nil {
--- a/internal/chain/record_codec.go
+++ b/internal/chain/record_codec.go
@@ -10,7 +10,7 @@
 func encodeRecord(record Record) ([]byte, error) {
 	return capnpcodec.Marshal(0, chainwire.NewRootRecord, func(w chainwire.Record) error {
 		w.SetCompleteEpoch(record.CompleteEpoch)
-		w.SetLife(record.Generation)
+		w.SetGeneration(record.Generation)
 		data, err := view.Encode(record.View)
 		if err != nil {
 			return err
@@ -30,5 +30,5 @@
 		return Record{}, err
 	}
 	v, err := view.Decode(encoded)
-	return Record{View: v, CompleteEpoch: r.CompleteEpoch(), Generation: r.Life()}, err
+	return Record{View: v, CompleteEpoch: r.CompleteEpoch(), Generation: r.Generation()}, err
 }
--- a/internal/control/command_codec.go
+++ b/internal/control/command_codec.go
@@ -111,7 +111,7 @@
 		return readCompleteRetirement(root)
 	case controlwire.Command_Which_place:
 		return readReplacePlacement(root)
-	case controlwire.Command_Which_holders:
+	case controlwire.Command_Which_leaseholders:
 		return readChangeLeaseholders(root)
 	}
 	return nil, fault.New(fault.Internal, "a command of unknown kind %d", root.Which())
--- a/internal/control/controlwire/control.capnp
+++ b/internal/control/controlwire/control.capnp
@@ -33,18 +33,18 @@
   table @2 :Data;
 }
 
-struct Holder {
+struct Leaseholder {
   ip @0 :UInt32;
   # The IPv4 number, its first byte highest.
   port @1 :UInt16;
-  life @2 :UInt64;
+  generation @2 :UInt64;
 }
 
-struct Holders {
+struct LeaseholderChange {
   epoch @0 :UInt64;
   expectedRevision @1 :UInt64;
-  add @2 :List(Holder);
-  remove @3 :List(Holder);
+  add @2 :List(Leaseholder);
+  remove @3 :List(Leaseholder);
   keep @4 :List(Text);
   # Tenants whose reserves are recorded as kept.
   spend @5 :List(Text);
@@ -53,13 +53,13 @@
   # All reserves are recorded as spent.
 }
 
-struct HolderSet {
+struct LeaseholderSet {
   epoch @0 :UInt64;
   revision @1 :UInt64;
-  members @2 :List(Holder);
+  members @2 :List(Leaseholder);
   reserves @3 :List(Text);
   # Tenants whose reserves are kept.
-  former @4 :List(Holder);
+  former @4 :List(Leaseholder);
   # Processes that were replaced by others at their addresses, the oldest first.
 }
 
@@ -69,7 +69,7 @@
     retire @1 :Retire;
     complete @2 :Completion;
     place @3 :Place;
-    holders @4 :Holders;
+    leaseholders @4 :LeaseholderChange;
   }
 }
 
@@ -79,7 +79,7 @@
   text @2 :Text;
 }
 
-struct Order {
+struct Digest {
   high @0 :UInt64;
   low @1 :UInt64;
 }
@@ -92,13 +92,13 @@
 
 struct State {
   document @0 :Data;
-  taken @1 :List(Order);
-  refused @2 :List(Order);
+  accepted @1 :List(Digest);
+  refused @2 :List(Digest);
   retirements @3 :List(Retirement);
   retirementRevision @4 :UInt64;
   placementVersion @5 :UInt64;
   placement @6 :Data;
-  holders @7 :HolderSet;
+  leaseholders @7 :LeaseholderSet;
 }
 
 struct ChainStatus {
--- a/internal/control/controlwire/control.capnp.go
+++ b/internal/control/controlwire/control.capnp.go
@@ -522,219 +522,219 @@
 	return Place(p.Struct()), err
 }
 
-type Holder capnp.Struct
+type Leaseholder capnp.Struct
 
-// Holder_TypeID is the unique identifier for the type Holder.
-const Holder_TypeID = 0xf28a54a6920d9c06
+// Leaseholder_TypeID is the unique identifier for the type Leaseholder.
+const Leaseholder_TypeID = 0xd7acc42882e67601
 
-func NewHolder(s *capnp.Segment) (Holder, error) {
+func NewLeaseholder(s *capnp.Segment) (Leaseholder, error) {
 	st, err := capnp.NewStruct(s, capnp.ObjectSize{DataSize: 16, PointerCount: 0})
-	return Holder(st), err
+	return Leaseholder(st), err
 }
 
-func NewRootHolder(s *capnp.Segment) (Holder, error) {
+func NewRootLeaseholder(s *capnp.Segment) (Leaseholder, error) {
 	st, err := capnp.NewRootStruct(s, capnp.ObjectSize{DataSize: 16, PointerCount: 0})
-	return Holder(st), err
+	return Leaseholder(st), err
 }
 
-func ReadRootHolder(msg *capnp.Message) (Holder, error) {
+func ReadRootLeaseholder(msg *capnp.Message) (Leaseholder, error) {
 	root, err := msg.Root()
-	return Holder(root.Struct()), err
+	return Leaseholder(root.Struct()), err
 }
 
-func (s Holder) String() string {
-	str, _ := text.Marshal(0xf28a54a6920d9c06, capnp.Struct(s))
+func (s Leaseholder) String() string {
+	str, _ := text.Marshal(0xd7acc42882e67601, capnp.Struct(s))
 	return str
 }
 
-func (s Holder) EncodeAsPtr(seg *capnp.Segment) capnp.Ptr {
+func (s Leaseholder) EncodeAsPtr(seg *capnp.Segment) capnp.Ptr {
 	return capnp.Struct(s).EncodeAsPtr(seg)
 }
 
-func (Holder) DecodeFromPtr(p capnp.Ptr) Holder {
-	return Holder(capnp.Struct{}.DecodeFromPtr(p))
+func (Leaseholder) DecodeFromPtr(p capnp.Ptr) Leaseholder {
+	return Leaseholder(capnp.Struct{}.DecodeFromPtr(p))
 }
 
-func (s Holder) ToPtr() capnp.Ptr {
+func (s Leaseholder) ToPtr() capnp.Ptr {
 	return capnp.Struct(s).ToPtr()
 }
-func (s Holder) IsValid() bool {
+func (s Leaseholder) IsValid() bool {
 	return capnp.Struct(s).IsValid()
 }
 
-func (s Holder) Message() *capnp.Message {
+func (s Leaseholder) Message() *capnp.Message {
 	return capnp.Struct(s).Message()
 }
 
-func (s Holder) Segment() *capnp.Segment {
+func (s Leaseholder) Segment() *capnp.Segment {
 	return capnp.Struct(s).Segment()
 }
-func (s Holder) Ip() uint32 {
+func (s Leaseholder) Ip() uint32 {
 	return capnp.Struct(s).Uint32(0)
 }
 
-func (s Holder) SetIp(v uint32) {
+func (s Leaseholder) SetIp(v uint32) {
 	capnp.Struct(s).SetUint32(0, v)
 }
 
-func (s Holder) Port() uint16 {
+func (s Leaseholder) Port() uint16 {
 	return capnp.Struct(s).Uint16(4)
 }
 
-func (s Holder) SetPort(v uint16) {
+func (s Leaseholder) SetPort(v uint16) {
 	capnp.Struct(s).SetUint16(4, v)
 }
 
-func (s Holder) Life() uint64 {
+func (s Leaseholder) Generation() uint64 {
 	return capnp.Struct(s).Uint64(8)
 }
 
-func (s Holder) SetLife(v uint64) {
+func (s Leaseholder) SetGeneration(v uint64) {
 	capnp.Struct(s).SetUint64(8, v)
 }
 
-// Holder_List is a list of Holder.
-type Holder_List = capnp.StructList[Holder]
+// Leaseholder_List is a list of Leaseholder.
+type Leaseholder_List = capnp.StructList[Leaseholder]
 
-// NewHolder creates a new list of Holder.
-func NewHolder_List(s *capnp.Segment, sz int32) (Holder_List, error) {
+// NewLeaseholder creates a new list of Leaseholder.
+func NewLeaseholder_List(s *capnp.Segment, sz int32) (Leaseholder_List, error) {
 	l, err := capnp.NewCompositeList(s, capnp.ObjectSize{DataSize: 16, PointerCount: 0}, sz)
-	return capnp.StructList[Holder](l), err
+	return capnp.StructList[Leaseholder](l), err
 }
 
-// Holder_Future is a wrapper for a Holder promised by a client call.
-type Holder_Future struct{ *capnp.Future }
+// Leaseholder_Future is a wrapper for a Leaseholder promised by a client call.
+type Leaseholder_Future struct{ *capnp.Future }
 
-func (f Holder_Future) Struct() (Holder, error) {
+func (f Leaseholder_Future) Struct() (Leaseholder, error) {
 	p, err := f.Future.Ptr()
-	return Holder(p.Struct()), err
+	return Leaseholder(p.Struct()), err
 }
 
-type Holders capnp.Struct
+type LeaseholderChange capnp.Struct
 
-// Holders_TypeID is the unique identifier for the type Holders.
-const Holders_TypeID = 0xf4c10822300941a5
+// LeaseholderChange_TypeID is the unique identifier for the type LeaseholderChange.
+const LeaseholderChange_TypeID = 0xa114f99cd4acfa41
 
-func NewHolders(s *capnp.Segment) (Holders, error) {
+func NewLeaseholderChange(s *capnp.Segment) (LeaseholderChange, error) {
 	st, err := capnp.NewStruct(s, capnp.ObjectSize{DataSize: 24, PointerCount: 4})
-	return Holders(st), err
+	return LeaseholderChange(st), err
 }
 
-func NewRootHolders(s *capnp.Segment) (Holders, error) {
+func NewRootLeaseholderChange(s *capnp.Segment) (LeaseholderChange, error) {
 	st, err := capnp.NewRootStruct(s, capnp.ObjectSize{DataSize: 24, PointerCount: 4})
-	return Holders(st), err
+	return LeaseholderChange(st), err
 }
 
-func ReadRootHolders(msg *capnp.Message) (Holders, error) {
+func ReadRootLeaseholderChange(msg *capnp.Message) (LeaseholderChange, error) {
 	root, err := msg.Root()
-	return Holders(root.Struct()), err
+	return LeaseholderChange(root.Struct()), err
 }
 
-func (s Holders) String() string {
-	str, _ := text.Marshal(0xf4c10822300941a5, capnp.Struct(s))
+func (s LeaseholderChange) String() string {
+	str, _ := text.Marshal(0xa114f99cd4acfa41, capnp.Struct(s))
 	return str
 }
 
-func (s Holders) EncodeAsPtr(seg *capnp.Segment) capnp.Ptr {
+func (s LeaseholderChange) EncodeAsPtr(seg *capnp.Segment) capnp.Ptr {
 	return capnp.Struct(s).EncodeAsPtr(seg)
 }
 
-func (Holders) DecodeFromPtr(p capnp.Ptr) Holders {
-	return Holders(capnp.Struct{}.DecodeFromPtr(p))
+func (LeaseholderChange) DecodeFromPtr(p capnp.Ptr) LeaseholderChange {
+	return LeaseholderChange(capnp.Struct{}.DecodeFromPtr(p))
 }
 
-func (s Holders) ToPtr() capnp.Ptr {
+func (s LeaseholderChange) ToPtr() capnp.Ptr {
 	return capnp.Struct(s).ToPtr()
 }
-func (s Holders) IsValid() bool {
+func (s LeaseholderChange) IsValid() bool {
 	return capnp.Struct(s).IsValid()
 }
 
-func (s Holders) Message() *capnp.Message {
+func (s LeaseholderChange) Message() *capnp.Message {
 	return capnp.Struct(s).Message()
 }
 
-func (s Holders) Segment() *capnp.Segment {
+func (s LeaseholderChange) Segment() *capnp.Segment {
 	return capnp.Struct(s).Segment()
 }
-func (s Holders) Epoch() uint64 {
+func (s LeaseholderChange) Epoch() uint64 {
 	return capnp.Struct(s).Uint64(0)
 }
 
-func (s Holders) SetEpoch(v uint64) {
+func (s LeaseholderChange) SetEpoch(v uint64) {
 	capnp.Struct(s).SetUint64(0, v)
 }
 
-func (s Holders) ExpectedRevision() uint64 {
+func (s LeaseholderChange) ExpectedRevision() uint64 {
 	return capnp.Struct(s).Uint64(8)
 }
 
-func (s Holders) SetExpectedRevision(v uint64) {
+func (s LeaseholderChange) SetExpectedRevision(v uint64) {
 	capnp.Struct(s).SetUint64(8, v)
 }
 
-func (s Holders) Add() (Holder_List, error) {
+func (s LeaseholderChange) Add() (Leaseholder_List, error) {
 	p, err := capnp.Struct(s).Ptr(0)
-	return Holder_List(p.List()), err
+	return Leaseholder_List(p.List()), err
 }
 
-func (s Holders) HasAdd() bool {
+func (s LeaseholderChange) HasAdd() bool {
 	return capnp.Struct(s).HasPtr(0)
 }
 
-func (s Holders) SetAdd(v Holder_List) error {
+func (s LeaseholderChange) SetAdd(v Leaseholder_List) error {
 	return capnp.Struct(s).SetPtr(0, v.ToPtr())
 }
 
 // NewAdd sets the add field to a newly
-// allocated Holder_List, preferring placement in s's segment.
-func (s Holders) NewAdd(n int32) (Holder_List, error) {
-	l, err := NewHolder_List(capnp.Struct(s).Segment(), n)
+// allocated Leaseholder_List, preferring placement in s's segment.
+func (s LeaseholderChange) NewAdd(n int32) (Leaseholder_List, error) {
+	l, err := NewLeaseholder_List(capnp.Struct(s).Segment(), n)
 	if err != nil {
-		return Holder_List{}, err
+		return Leaseholder_List{}, err
 	}
 	err = capnp.Struct(s).SetPtr(0, l.ToPtr())
 	return l, err
 }
-func (s Holders) Remove() (Holder_List, error) {
+func (s LeaseholderChange) Remove() (Leaseholder_List, error) {
 	p, err := capnp.Struct(s).Ptr(1)
-	return Holder_List(p.List()), err
+	return Leaseholder_List(p.List()), err
 }
 
-func (s Holders) HasRemove() bool {
+func (s LeaseholderChange) HasRemove() bool {
 	return capnp.Struct(s).HasPtr(1)
 }
 
-func (s Holders) SetRemove(v Holder_List) error {
+func (s LeaseholderChange) SetRemove(v Leaseholder_List) error {
 	return capnp.Struct(s).SetPtr(1, v.ToPtr())
 }
 
 // NewRemove sets the remove field to a newly
-// allocated Holder_List, preferring placement in s's segment.
-func (s Holders) NewRemove(n int32) (Holder_List, error) {
-	l, err := NewHolder_List(capnp.Struct(s).Segment(), n)
+// allocated Leaseholder_List, preferring placement in s's segment.
+func (s LeaseholderChange) NewRemove(n int32) (Leaseholder_List, error) {
+	l, err := NewLeaseholder_List(capnp.Struct(s).Segment(), n)
 	if err != nil {
-		return Holder_List{}, err
+		return Leaseholder_List{}, err
 	}
 	err = capnp.Struct(s).SetPtr(1, l.ToPtr())
 	return l, err
 }
-func (s Holders) Keep() (capnp.TextList, error) {
+func (s LeaseholderChange) Keep() (capnp.TextList, error) {
 	p, err := capnp.Struct(s).Ptr(2)
 	return capnp.TextList(p.List()), err
 }
 
-func (s Holders) HasKeep() bool {
+func (s LeaseholderChange) HasKeep() bool {
 	return capnp.Struct(s).HasPtr(2)
 }
 
-func (s Holders) SetKeep(v capnp.TextList) error {
+func (s LeaseholderChange) SetKeep(v capnp.TextList) error {
 	return capnp.Struct(s).SetPtr(2, v.ToPtr())
 }
 
 // NewKeep sets the keep field to a newly
 // allocated capnp.TextList, preferring placement in s's segment.
-func (s Holders) NewKeep(n int32) (capnp.TextList, error) {
+func (s LeaseholderChange) NewKeep(n int32) (capnp.TextList, error) {
 	l, err := capnp.NewTextList(capnp.Struct(s).Segment(), n)
 	if err != nil {
 		return capnp.TextList{}, err
@@ -742,22 +742,22 @@
 	err = capnp.Struct(s).SetPtr(2, l.ToPtr())
 	return l, err
 }
-func (s Holders) Spend() (capnp.TextList, error) {
+func (s LeaseholderChange) Spend() (capnp.TextList, error) {
 	p, err := capnp.Struct(s).Ptr(3)
 	return capnp.TextList(p.List()), err
 }
 
-func (s Holders) HasSpend() bool {
+func (s LeaseholderChange) HasSpend() bool {
 	return capnp.Struct(s).HasPtr(3)
 }
 
-func (s Holders) SetSpend(v capnp.TextList) error {
+func (s LeaseholderChange) SetSpend(v capnp.TextList) error {
 	return capnp.Struct(s).SetPtr(3, v.ToPtr())
 }
 
 // NewSpend sets the spend field to a newly
 // allocated capnp.TextList, preferring placement in s's segment.
-func (s Holders) NewSpend(n int32) (capnp.TextList, error) {
+func (s LeaseholderChange) NewSpend(n int32) (capnp.TextList, error) {
 	l, err := capnp.NewTextList(capnp.Struct(s).Segment(), n)
 	if err != nil {
 		return capnp.TextList{}, err
@@ -765,133 +765,133 @@
 	err = capnp.Struct(s).SetPtr(3, l.ToPtr())
 	return l, err
 }
-func (s Holders) SpendAll() bool {
+func (s LeaseholderChange) SpendAll() bool {
 	return capnp.Struct(s).Bit(128)
 }
 
-func (s Holders) SetSpendAll(v bool) {
+func (s LeaseholderChange) SetSpendAll(v bool) {
 	capnp.Struct(s).SetBit(128, v)
 }
 
-// Holders_List is a list of Holders.
-type Holders_List = capnp.StructList[Holders]
+// LeaseholderChange_List is a list of LeaseholderChange.
+type LeaseholderChange_List = capnp.StructList[LeaseholderChange]
 
-// NewHolders creates a new list of Holders.
-func NewHolders_List(s *capnp.Segment, sz int32) (Holders_List, error) {
+// NewLeaseholderChange creates a new list of LeaseholderChange.
+func NewLeaseholderChange_List(s *capnp.Segment, sz int32) (LeaseholderChange_List, error) {
 	l, err := capnp.NewCompositeList(s, capnp.ObjectSize{DataSize: 24, PointerCount: 4}, sz)
-	return capnp.StructList[Holders](l), err
+	return capnp.StructList[LeaseholderChange](l), err
 }
 
-// Holders_Future is a wrapper for a Holders promised by a client call.
-type Holders_Future struct{ *capnp.Future }
+// LeaseholderChange_Future is a wrapper for a LeaseholderChange promised by a client call.
+type LeaseholderChange_Future struct{ *capnp.Future }
 
-func (f Holders_Future) Struct() (Holders, error) {
+func (f LeaseholderChange_Future) Struct() (LeaseholderChange, error) {
 	p, err := f.Future.Ptr()
-	return Holders(p.Struct()), err
+	return LeaseholderChange(p.Struct()), err
 }
 
-type HolderSet capnp.Struct
+type LeaseholderSet capnp.Struct
 
-// HolderSet_TypeID is the unique identifier for the type HolderSet.
-const HolderSet_TypeID = 0xed04a684643d88d8
+// LeaseholderSet_TypeID is the unique identifier for the type LeaseholderSet.
+const LeaseholderSet_TypeID = 0xc3ef1b5ff346dd15
 
-func NewHolderSet(s *capnp.Segment) (HolderSet, error) {
+func NewLeaseholderSet(s *capnp.Segment) (LeaseholderSet, error) {
 	st, err := capnp.NewStruct(s, capnp.ObjectSize{DataSize: 16, PointerCount: 3})
-	return HolderSet(st), err
+	return LeaseholderSet(st), err
 }
 
-func NewRootHolderSet(s *capnp.Segment) (HolderSet, error) {
+func NewRootLeaseholderSet(s *capnp.Segment) (LeaseholderSet, error) {
 	st, err := capnp.NewRootStruct(s, capnp.ObjectSize{DataSize: 16, PointerCount: 3})
-	return HolderSet(st), err
+	return LeaseholderSet(st), err
 }
 
-func ReadRootHolderSet(msg *capnp.Message) (HolderSet, error) {
+func ReadRootLeaseholderSet(msg *capnp.Message) (LeaseholderSet, error) {
 	root, err := msg.Root()
-	return HolderSet(root.Struct()), err
+	return LeaseholderSet(root.Struct()), err
 }
 
-func (s HolderSet) String() string {
-	str, _ := text.Marshal(0xed04a684643d88d8, capnp.Struct(s))
+func (s LeaseholderSet) String() string {
+	str, _ := text.Marshal(0xc3ef1b5ff346dd15, capnp.Struct(s))
 	return str
 }
 
-func (s HolderSet) EncodeAsPtr(seg *capnp.Segment) capnp.Ptr {
+func (s LeaseholderSet) EncodeAsPtr(seg *capnp.Segment) capnp.Ptr {
 	return capnp.Struct(s).EncodeAsPtr(seg)
 }
 
-func (HolderSet) DecodeFromPtr(p capnp.Ptr) HolderSet {
-	return HolderSet(capnp.Struct{}.DecodeFromPtr(p))
+func (LeaseholderSet) DecodeFromPtr(p capnp.Ptr) LeaseholderSet {
+	return LeaseholderSet(capnp.Struct{}.DecodeFromPtr(p))
 }
 
-func (s HolderSet) ToPtr() capnp.Ptr {
+func (s LeaseholderSet) ToPtr() capnp.Ptr {
 	return capnp.Struct(s).ToPtr()
 }
-func (s HolderSet) IsValid() bool {
+func (s LeaseholderSet) IsValid() bool {
 	return capnp.Struct(s).IsValid()
 }
 
-func (s HolderSet) Message() *capnp.Message {
+func (s LeaseholderSet) Message() *capnp.Message {
 	return capnp.Struct(s).Message()
 }
 
-func (s HolderSet) Segment() *capnp.Segment {
+func (s LeaseholderSet) Segment() *capnp.Segment {
 	return capnp.Struct(s).Segment()
 }
-func (s HolderSet) Epoch() uint64 {
+func (s LeaseholderSet) Epoch() uint64 {
 	return capnp.Struct(s).Uint64(0)
 }
 
-func (s HolderSet) SetEpoch(v uint64) {
+func (s LeaseholderSet) SetEpoch(v uint64) {
 	capnp.Struct(s).SetUint64(0, v)
 }
 
-func (s HolderSet) Revision() uint64 {
+func (s LeaseholderSet) Revision() uint64 {
 	return capnp.Struct(s).Uint64(8)
 }
 
-func (s HolderSet) SetRevision(v uint64) {
+func (s LeaseholderSet) SetRevision(v uint64) {
 	capnp.Struct(s).SetUint64(8, v)
 }
 
-func (s HolderSet) Members() (Holder_List, error) {
+func (s LeaseholderSet) Members() (Leaseholder_List, error) {
 	p, err := capnp.Struct(s).Ptr(0)
-	return Holder_List(p.List()), err
+	return Leaseholder_List(p.List()), err
 }
 
-func (s HolderSet) HasMembers() bool {
+func (s LeaseholderSet) HasMembers() bool {
 	return capnp.Struct(s).HasPtr(0)
 }
 
-func (s HolderSet) SetMembers(v Holder_List) error {
+func (s LeaseholderSet) SetMembers(v Leaseholder_List) error {
 	return capnp.Struct(s).SetPtr(0, v.ToPtr())
 }
 
 // NewMembers sets the members field to a newly
-// allocated Holder_List, preferring placement in s's segment.
-func (s HolderSet) NewMembers(n int32) (Holder_List, error) {
-	l, err := NewHolder_List(capnp.Struct(s).Segment(), n)
+// allocated Leaseholder_List, preferring placement in s's segment.
+func (s LeaseholderSet) NewMembers(n int32) (Leaseholder_List, error) {
+	l, err := NewLeaseholder_List(capnp.Struct(s).Segment(), n)
 	if err != nil {
-		return Holder_List{}, err
+		return Leaseholder_List{}, err
 	}
 	err = capnp.Struct(s).SetPtr(0, l.ToPtr())
 	return l, err
 }
-func (s HolderSet) Reserves() (capnp.TextList, error) {
+func (s LeaseholderSet) Reserves() (capnp.TextList, error) {
 	p, err := capnp.Struct(s).Ptr(1)
 	return capnp.TextList(p.List()), err
 }
 
-func (s HolderSet) HasReserves() bool {
+func (s LeaseholderSet) HasReserves() bool {
 	return capnp.Struct(s).HasPtr(1)
 }
 
-func (s HolderSet) SetReserves(v capnp.TextList) error {
+func (s LeaseholderSet) SetReserves(v capnp.TextList) error {
 	return capnp.Struct(s).SetPtr(1, v.ToPtr())
 }
 
 // NewReserves sets the reserves field to a newly
 // allocated capnp.TextList, preferring placement in s's segment.
-func (s HolderSet) NewReserves(n int32) (capnp.TextList, error) {
+func (s LeaseholderSet) NewReserves(n int32) (capnp.TextList, error) {
 	l, err := capnp.NewTextList(capnp.Struct(s).Segment(), n)
 	if err != nil {
 		return capnp.TextList{}, err
@@ -899,60 +899,60 @@
 	err = capnp.Struct(s).SetPtr(1, l.ToPtr())
 	return l, err
 }
-func (s HolderSet) Former() (Holder_List, error) {
+func (s LeaseholderSet) Former() (Leaseholder_List, error) {
 	p, err := capnp.Struct(s).Ptr(2)
-	return Holder_List(p.List()), err
+	return Leaseholder_List(p.List()), err
 }
 
-func (s HolderSet) HasFormer() bool {
+func (s LeaseholderSet) HasFormer() bool {
 	return capnp.Struct(s).HasPtr(2)
 }
 
-func (s HolderSet) SetFormer(v Holder_List) error {
+func (s LeaseholderSet) SetFormer(v Leaseholder_List) error {
 	return capnp.Struct(s).SetPtr(2, v.ToPtr())
 }
 
 // NewFormer sets the former field to a newly
-// allocated Holder_List, preferring placement in s's segment.
-func (s HolderSet) NewFormer(n int32) (Holder_List, error) {
-	l, err := NewHolder_List(capnp.Struct(s).Segment(), n)
+// allocated Leaseholder_List, preferring placement in s's segment.
+func (s LeaseholderSet) NewFormer(n int32) (Leaseholder_List, error) {
+	l, err := NewLeaseholder_List(capnp.Struct(s).Segment(), n)
 	if err != nil {
-		return Holder_List{}, err
+		return Leaseholder_List{}, err
 	}
 	err = capnp.Struct(s).SetPtr(2, l.ToPtr())
 	return l, err
 }
 
-// HolderSet_List is a list of HolderSet.
-type HolderSet_List = capnp.StructList[HolderSet]
+// LeaseholderSet_List is a list of LeaseholderSet.
+type LeaseholderSet_List = capnp.StructList[LeaseholderSet]
 
-// NewHolderSet creates a new list of HolderSet.
-func NewHolderSet_List(s *capnp.Segment, sz int32) (HolderSet_List, error) {
+// NewLeaseholderSet creates a new list of LeaseholderSet.
+func NewLeaseholderSet_List(s *capnp.Segment, sz int32) (LeaseholderSet_List, error) {
 	l, err := capnp.NewCompositeList(s, capnp.ObjectSize{DataSize: 16, PointerCount: 3}, sz)
-	return capnp.StructList[HolderSet](l), err
+	return capnp.StructList[LeaseholderSet](l), err
 }
 
-// HolderSet_Future is a wrapper for a HolderSet promised by a client call.
-type HolderSet_Future struct{ *capnp.Future }
+// LeaseholderSet_Future is a wrapper for a LeaseholderSet promised by a client call.
+type LeaseholderSet_Future struct{ *capnp.Future }
 
-func (f HolderSet_Future) Struct() (HolderSet, error) {
+func (f LeaseholderSet_Future) Struct() (LeaseholderSet, error) {
 	p, err := f.Future.Ptr()
-	return HolderSet(p.Struct()), err
+	return LeaseholderSet(p.Struct()), err
 }
 
 type Command capnp.Struct
 type Command_Which uint16
 
 const (
-	Command_Which_configure Command_Which = 0
-	Command_Which_retire    Command_Which = 1
-	Command_Which_complete  Command_Which = 2
-	Command_Which_place     Command_Which = 3
-	Command_Which_holders   Command_Which = 4
+	Command_Which_configure    Command_Which = 0
+	Command_Which_retire       Command_Which = 1
+	Command_Which_complete     Command_Which = 2
+	Command_Which_place        Command_Which = 3
+	Command_Which_leaseholders Command_Which = 4
 )
 
 func (w Command_Which) String() string {
-	const s = "configureretirecompleteplaceholders"
+	const s = "configureretirecompleteplaceleaseholders"
 	switch w {
 	case Command_Which_configure:
 		return s[0:9]
@@ -962,8 +962,8 @@
 		return s[15:23]
 	case Command_Which_place:
 		return s[23:28]
-	case Command_Which_holders:
-		return s[28:35]
+	case Command_Which_leaseholders:
+		return s[28:40]
 
 	}
 	return "Command_Which(" + strconv.FormatUint(uint64(w), 10) + ")"
@@ -1146,33 +1146,33 @@
 	return ss, err
 }
 
-func (s Command) Holders() (Holders, error) {
+func (s Command) Leaseholders() (LeaseholderChange, error) {
 	if capnp.Struct(s).Uint16(0) != 4 {
-		panic("Which() != holders")
+		panic("Which() != leaseholders")
 	}
 	p, err := capnp.Struct(s).Ptr(0)
-	return Holders(p.Struct()), err
+	return LeaseholderChange(p.Struct()), err
 }
 
-func (s Command) HasHolders() bool {
+func (s Command) HasLeaseholders() bool {
 	if capnp.Struct(s).Uint16(0) != 4 {
 		return false
 	}
 	return capnp.Struct(s).HasPtr(0)
 }
 
-func (s Command) SetHolders(v Holders) error {
+func (s Command) SetLeaseholders(v LeaseholderChange) error {
 	capnp.Struct(s).SetUint16(0, 4)
 	return capnp.Struct(s).SetPtr(0, capnp.Struct(v).ToPtr())
 }
 
-// NewHolders sets the holders field to a newly
-// allocated Holders struct, preferring placement in s's segment.
-func (s Command) NewHolders() (Holders, error) {
+// NewLeaseholders sets the leaseholders field to a newly
+// allocated LeaseholderChange struct, preferring placement in s's segment.
+func (s Command) NewLeaseholders() (LeaseholderChange, error) {
 	capnp.Struct(s).SetUint16(0, 4)
-	ss, err := NewHolders(capnp.Struct(s).Segment())
+	ss, err := NewLeaseholderChange(capnp.Struct(s).Segment())
 	if err != nil {
-		return Holders{}, err
+		return LeaseholderChange{}, err
 	}
 	err = capnp.Struct(s).SetPtr(0, capnp.Struct(ss).ToPtr())
 	return ss, err
@@ -1206,8 +1206,8 @@
 func (p Command_Future) Place() Place_Future {
 	return Place_Future{Future: p.Future.Field(0, nil)}
 }
-func (p Command_Future) Holders() Holders_Future {
-	return Holders_Future{Future: p.Future.Field(0, nil)}
+func (p Command_Future) Leaseholders() LeaseholderChange_Future {
+	return LeaseholderChange_Future{Future: p.Future.Field(0, nil)}
 }
 
 type Result capnp.Struct
@@ -1308,84 +1308,84 @@
 	return Result(p.Struct()), err
 }
 
-type Order capnp.Struct
+type Digest capnp.Struct
 
-// Order_TypeID is the unique identifier for the type Order.
-const Order_TypeID = 0xfb52b23efba060c4
+// Digest_TypeID is the unique identifier for the type Digest.
+const Digest_TypeID = 0xc6eedef84d57bce2
 
-func NewOrder(s *capnp.Segment) (Order, error) {
+func NewDigest(s *capnp.Segment) (Digest, error) {
 	st, err := capnp.NewStruct(s, capnp.ObjectSize{DataSize: 16, PointerCount: 0})
-	return Order(st), err
+	return Digest(st), err
 }
 
-func NewRootOrder(s *capnp.Segment) (Order, error) {
+func NewRootDigest(s *capnp.Segment) (Digest, error) {
 	st, err := capnp.NewRootStruct(s, capnp.ObjectSize{DataSize: 16, PointerCount: 0})
-	return Order(st), err
+	return Digest(st), err
 }
 
-func ReadRootOrder(msg *capnp.Message) (Order, error) {
+func ReadRootDigest(msg *capnp.Message) (Digest, error) {
 	root, err := msg.Root()
-	return Order(root.Struct()), err
+	return Digest(root.Struct()), err
 }
 
-func (s Order) String() string {
-	str, _ := text.Marshal(0xfb52b23efba060c4, capnp.Struct(s))
+func (s Digest) String() string {
+	str, _ := text.Marshal(0xc6eedef84d57bce2, capnp.Struct(s))
 	return str
 }
 
-func (s Order) EncodeAsPtr(seg *capnp.Segment) capnp.Ptr {
+func (s Digest) EncodeAsPtr(seg *capnp.Segment) capnp.Ptr {
 	return capnp.Struct(s).EncodeAsPtr(seg)
 }
 
-func (Order) DecodeFromPtr(p capnp.Ptr) Order {
-	return Order(capnp.Struct{}.DecodeFromPtr(p))
+func (Digest) DecodeFromPtr(p capnp.Ptr) Digest {
+	return Digest(capnp.Struct{}.DecodeFromPtr(p))
 }
 
-func (s Order) ToPtr() capnp.Ptr {
+func (s Digest) ToPtr() capnp.Ptr {
 	return capnp.Struct(s).ToPtr()
 }
-func (s Order) IsValid() bool {
+func (s Digest) IsValid() bool {
 	return capnp.Struct(s).IsValid()
 }
 
-func (s Order) Message() *capnp.Message {
+func (s Digest) Message() *capnp.Message {
 	return capnp.Struct(s).Message()
 }
 
-func (s Order) Segment() *capnp.Segment {
+func (s Digest) Segment() *capnp.Segment {
 	return capnp.Struct(s).Segment()
 }
-func (s Order) High() uint64 {
+func (s Digest) High() uint64 {
 	return capnp.Struct(s).Uint64(0)
 }
 
-func (s Order) SetHigh(v uint64) {
+func (s Digest) SetHigh(v uint64) {
 	capnp.Struct(s).SetUint64(0, v)
 }
 
-func (s Order) Low() uint64 {
+func (s Digest) Low() uint64 {
 	return capnp.Struct(s).Uint64(8)
 }
 
-func (s Order) SetLow(v uint64) {
+func (s Digest) SetLow(v uint64) {
 	capnp.Struct(s).SetUint64(8, v)
 }
 
-// Order_List is a list of Order.
-type Order_List = capnp.StructList[Order]
+// Digest_List is a list of Digest.
+type Digest_List = capnp.StructList[Digest]
 
-// NewOrder creates a new list of Order.
-func NewOrder_List(s *capnp.Segment, sz int32) (Order_List, error) {
+// NewDigest creates a new list of Digest.
+func NewDigest_List(s *capnp.Segment, sz int32) (Digest_List, error) {
 	l, err := capnp.NewCompositeList(s, capnp.ObjectSize{DataSize: 16, PointerCount: 0}, sz)
-	return capnp.StructList[Order](l), err
+	return capnp.StructList[Digest](l), err
 }
 
-// Order_Future is a wrapper for a Order promised by a client call.
-type Order_Future struct{ *capnp.Future }
+// Digest_Future is a wrapper for a Digest promised by a client call.
+type Digest_Future struct{ *capnp.Future }
 
-func (f Order_Future) Struct() (Order, error) {
+func (f Digest_Future) Struct() (Digest, error) {
 	p, err := f.Future.Ptr()
-	return Order(p.Struct()), err
+	return Digest(p.Struct()), err
 }
 
 type Retirement capnp.Struct
@@ -1555,48 +1555,48 @@
 	return capnp.Struct(s).SetData(0, v)
 }
 
-func (s State) Taken() (Order_List, error) {
+func (s State) Accepted() (Digest_List, error) {
 	p, err := capnp.Struct(s).Ptr(1)
-	return Order_List(p.List()), err
+	return Digest_List(p.List()), err
 }
 
-func (s State) HasTaken() bool {
+func (s State) HasAccepted() bool {
 	return capnp.Struct(s).HasPtr(1)
 }
 
-func (s State) SetTaken(v Order_List) error {
+func (s State) SetAccepted(v Digest_List) error {
 	return capnp.Struct(s).SetPtr(1, v.ToPtr())
 }
 
-// NewTaken sets the taken field to a newly
-// allocated Order_List, preferring placement in s's segment.
-func (s State) NewTaken(n int32) (Order_List, error) {
-	l, err := NewOrder_List(capnp.Struct(s).Segment(), n)
+// NewAccepted sets the accepted field to a newly
+// allocated Digest_List, preferring placement in s's segment.
+func (s State) NewAccepted(n int32) (Digest_List, error) {
+	l, err := NewDigest_List(capnp.Struct(s).Segment(), n)
 	if err != nil {
-		return Order_List{}, err
+		return Digest_List{}, err
 	}
 	err = capnp.Struct(s).SetPtr(1, l.ToPtr())
 	return l, err
 }
-func (s State) Refused() (Order_List, error) {
+func (s State) Refused() (Digest_List, error) {
 	p, err := capnp.Struct(s).Ptr(2)
-	return Order_List(p.List()), err
+	return Digest_List(p.List()), err
 }
 
 func (s State) HasRefused() bool {
 	return capnp.Struct(s).HasPtr(2)
 }
 
-func (s State) SetRefused(v Order_List) error {
+func (s State) SetRefused(v Digest_List) error {
 	return capnp.Struct(s).SetPtr(2, v.ToPtr())
 }
 
 // NewRefused sets the refused field to a newly
-// allocated Order_List, preferring placement in s's segment.
-func (s State) NewRefused(n int32) (Order_List, error) {
-	l, err := NewOrder_List(capnp.Struct(s).Segment(), n)
+// allocated Digest_List, preferring placement in s's segment.
+func (s State) NewRefused(n int32) (Digest_List, error) {
+	l, err := NewDigest_List(capnp.Struct(s).Segment(), n)
 	if err != nil {
-		return Order_List{}, err
+		return Digest_List{}, err
 	}
 	err = capnp.Struct(s).SetPtr(2, l.ToPtr())
 	return l, err
@@ -1653,25 +1653,25 @@
 	return capnp.Struct(s).SetData(4, v)
 }
 
-func (s State) Holders() (HolderSet, error) {
+func (s State) Leaseholders() (LeaseholderSet, error) {
 	p, err := capnp.Struct(s).Ptr(5)
-	return HolderSet(p.Struct()), err
+	return LeaseholderSet(p.Struct()), err
 }
 
-func (s State) HasHolders() bool {
+func (s State) HasLeaseholders() bool {
 	return capnp.Struct(s).HasPtr(5)
 }
 
-func (s State) SetHolders(v HolderSet) error {
+func (s State) SetLeaseholders(v LeaseholderSet) error {
 	return capnp.Struct(s).SetPtr(5, capnp.Struct(v).ToPtr())
 }
 
-// NewHolders sets the holders field to a newly
-// allocated HolderSet struct, preferring placement in s's segment.
-func (s State) NewHolders() (HolderSet, error) {
-	ss, err := NewHolderSet(capnp.Struct(s).Segment())
+// NewLeaseholders sets the leaseholders field to a newly
+// allocated LeaseholderSet struct, preferring placement in s's segment.
+func (s State) NewLeaseholders() (LeaseholderSet, error) {
+	ss, err := NewLeaseholderSet(capnp.Struct(s).Segment())
 	if err != nil {
-		return HolderSet{}, err
+		return LeaseholderSet{}, err
 	}
 	err = capnp.Struct(s).SetPtr(5, capnp.Struct(ss).ToPtr())
 	return ss, err
@@ -1693,8 +1693,8 @@
 	p, err := f.Future.Ptr()
 	return State(p.Struct()), err
 }
-func (p State_Future) Holders() HolderSet_Future {
-	return HolderSet_Future{Future: p.Future.Field(5, nil)}
+func (p State_Future) Leaseholders() LeaseholderSet_Future {
+	return LeaseholderSet_Future{Future: p.Future.Field(5, nil)}
 }
 
 type ChainStatus capnp.Struct
@@ -1931,110 +1931,114 @@
 	return Store_Future{Future: p.Future.Field(0, nil)}
 }
 
-const schema_b19c1b1b6a3f5d27 = "x\xda\x94V]l\x1cW\x15>\xe7\xde\xfd\xf1*\xde" +
-	"?\xcd\x82R\x9a\xb2!\x10H\x83\\%N\xf2\x90\x88" +
-	"\xe0\xd4i\xa5\xd84\xc2w7E\xb4J\xa5Lv\xaf" +
-	"\xe3\xa9wfV\xb3\xb3v\x82\x1a\x9cV.JC!" +
-	"-P\x89\"W*\x16\xaeTK\x08\x1c\xa9PP\x1e" +
-	"\xa0j\x05T\xa0\x12\xe4JX\xe4\x9d\x06)\x08AU" +
-	"\x84\x123\xe8\xcc\x7f\xc6\xbbVx\xbb{\xef\xd9{\xbf" +
-	"\xf3\x9d\xef|g\xf6\xfc+u$\xb57\x7f9\x03L" +
-	"<\x92\xce8\xea\xdc\x97\x8a[\xdf[\xfd\x06\x88\x02\xa2" +
-	"\xf3\xb9'F\x9e\xbc\xf7\xde\x85\x15x\x18\xb3i\x00e" +
-	"\x88_Q\x0e\xf0,\xc0\xbe\xbd\xbc\x8a\x80\xce\xea\xd5\xc7" +
-	"\xd7O\xfe|\xfe\x9b\x14\xce\xa2\xf04\xcb\x02(c\xa9" +
-	"eE\xa4hu<\xf5W@\xe7\x97+_o}4" +
-	"vy9q\xb7\x17| \xbd\xac\x1cN\xd3\xea`\x9a" +
-	"\x82\xc7\x9cO\x7fV\xbb\xfd\xf1\xf7\x927#\x85\xec\xcc" +
-	",*C\x19Z\xdd\x9f\xf9\x09\xa0\xb3\xf5\xa3\x1b\xe6\xeb" +
-	"o^\xef\x1d\xfc\x87\xcc\xbb\xca\x9a\x1b\xfc\xbe\x1b\xfc\xf7" +
-	"\x9f\xfd\xed\xbb\xeb\xe3;\xaf\xf5\x0c\xeef\xdfR\xceg" +
-	"iu.K\xc1\x93\x7fY\x93\xff~\xe0\xedU\x0a\xe6" +
-	"Q\xb0\x9bUy\xe0O\xca}\x03\xc4\xc6=\x03.\x1b" +
-	"?Z\xff\xfc\xfe%\xfd\x89\xeb\xc9\x04\xdd\x9b\xf7\xe6\x16" +
-	"\x95\x8397\xd5\xdc,\xa03\xac\xbd\xf3\xc9\xdc\x85\xa5" +
-	"\x0f\x920\\\xa4/\xe6\x16\x95\x97)x\xdfK\xb9\xdf" +
-	"\xd0\xd5\xd3\xdf\xfeja\xcb\x7f~w\xa3'\xe8\xa5-" +
-	"\xef*+[h\xf5\xe3-\x04\xfa\xcf\x17\x0f7\xe7_" +
-	"K\xddL\x06s\xb7\x16\x83o)\x8f\x0e\xd2\xd5b\xd0" +
-	"E\x9dY\xc8\x7f\xe7\xb5\x13\x97\xfe\x99\x88vS|9" +
-	"\xbf\xac\xfc0O\xabW\xf2t\xf3\x8d\xfb\x9e\x1c}\xe8" +
-	"\xb1\xe9\x0f{\xc28PXV\x0e\x17\xdc\x12\x16(x" +
-	"\xe9\xc1\xdc\x9e\x1d\x03\xbf\xfe0\xc1]\xda\xbd\xf9Z\xe1" +
-	"\x8a\xb2F\xc1\xfb\xde/\\&\x18o\x9fz\xf5\xd6\x17" +
-	"\xaf\xd4n\xf5\x82\xf1ziQY)\xb9\x09\x96fa" +
-	"\xc8i\x98\x86m\x99\xad\x07\xb0\xa1\xb6\x8d\xf6\xa1\xa3f" +
-	"U\xd7U\xa39\x81(*<5\xe88)\x04(\x9f" +
-	"\xaf\x01\x88\xa78\x8a\x8b\x0c\xf3\xf8_\xa7\x82\xb4\xfb\xec" +
-	"!\x00q\x81\xa3x\x9ea\x9e\xad;\x15d\x00\xe5\xe7" +
-	"\xc6\x01\xc4E\x8e\xe2{\x0c\xf3\xfc\xb6SA\x0eP~" +
-	"q\x18@<\xcfQ|\x9fa>u\xcb\xa9`\x0a\xa0" +
-	"\xfc\xd2(\x80x\x81\xa3X`HP&\xb53]\x0b" +
-	"Pb)\xd2\x16 \x96\x00G,ik\x16\x1d\x84\x8d" +
-	"\xe2\x1d8\x0dSo\xb7\xa4-\x01\x00KQu\xbd\xd3" +
-	"j\xbb\xa56\xe8_a\x13x\xfbsSf\xab)\xad" +
-	"\x0e\x96\"n\xc3\xfb\xee`\xa4&\x8b\xf40\x11R\xe2" +
-	")\x00\x97\x0f\x95\xb29\xc9QL1D\xf4\xd8\x90\x8f" +
-	"\x03\x88&G\xd1fXf\xe8\x91\xa1\x13ES\x1c\xc5" +
-	"<\xc32g\x1e\x17O\x8fFlV;\xb6\xe9\xa6\x15" +
-	"*\xde\x87\xd1\xecZ\xaa\xad\x99\x06\xf0\xe3\x1dL\x03\xc3" +
-	"4\xe0\x88\x1b\xdc\xc1\x02\xe0\x04\xc7\xc4\x9f\x0a\x80s\xba" +
-	"fhzW\xc7\x01`8\xd03\x97\xb6i\xd9\xfds" +
-	")\x87\xc9\x10\xeeS\x1c\xc5S\x0c\x91y\xb9\x9c#\x11" +
-	"\x9c\x0drA?\x97\xf1H\x03\xfdr\x19iL\xa9\x9a" +
-	"\x11\x83\x1dZ\x81\x07\xdb\x994\xadY\xd5jJ\xc0&" +
-	"\"0$\x11kz[\xd5,\xd9\xa4\xb2\x06{\x89t" +
-	"&ZY\xb5\xe1Vf0\xcc\xe6\xe1g\x00\xc4C\x1c" +
-	"\xc5D,\x9b\xe3\x97\x00\xc4\x04Gq2\xca\xe61J" +
-	"\xfb\x04Gq\x8a\xa1#\xcf\xb6e\xc3\x96M\xfc\x8a\xb4" +
-	":D:\xe6\x80a\x0eb'59\xa3\xb9G\xe1Y" +
-	"\xd5VO\xb7$\xe6\x81a>\x06\x8e\x05\\\x93lt" +
-	"i\xd8\x00\x09\x88\xf4\xf2\x11\x8e\xe2\x91H<c$\x9e" +
-	"c\x1c\xc5\x09\x12\xcf\x11\x0f\xa2\xa8E\xb0\xff/\x9dD" +
-	"=\x11#4\x81\xef\xa8\xdfmr\x13t!\x81c\xc3" +
-	"\x11\xab\x01\x81\xc7wG\x90\xabm\xd5nL\x05OU" +
-	"u\xf7\x97OS\xf1\xb4\xd9<\xd7\x8f\xa5\xa3\xa4\x8c\xba" +
-	"\xad\xda]\xec\xf8\x9e\xe3\xe38?\x1cS[\x80\xe3\xe9" +
-	"\xe1\xa8s\xcal\xbb\x07\xe4Y\x92\xe0<G\xf1\x02\xe9" +
-	"\xf2S\x9e.\xbf5\x1e\xf9M9\x95\xdah7UW" +
-	"\x94A\xa7Te\xdb\x8c \xdf\xe1)!\x7fj\xf7\xcc" +
-	"\x94\xfdh;\xb67gu\x0dC3\xce\xf4\xeb\xb7\xba" +
-	"\x9d5=\xeb\x18\x08\xf3\xba\x9fh\xfb\x0cG\xb1'\xaa" +
-	"\xfe\x10\xe1\xda\xc5Q\xecgX4T]\xe2 0\x1c" +
-	"\xa4\x07d\xbb\xa55\xd4\x18\xb0\xe4\x03\xaa\xed>\xb0=" +
-	"|\xe0\x1ae\xfeG\x8e\xe2z\x8c\xb85\"n\x95\xa3" +
-	"\xf8\x07\x11\xe7W\xf0&=\xfb\x01\xc7z\x0a\x899\xee" +
-	"2\xa7 \x9e\x06\xa8!\xc7\xfa6d\x88\x1eu\xca=" +
-	"\xf8\x03\x80\xfa6\xda\xdeE\xd1i\xac }\xc7\xec\xc4" +
-	"K\x00\xf5]\xb4\xbf\x9f\xf63\xa9\x0afhFc\x0d" +
-	"\xa0\xbe\x87\xf6\xbf@\xfb\xd9t\xc5\x9dl\x07q\x14\xa0" +
-	"\xbe\x9f\xf6\x8f C\xa7i6\xba^\x93@\xa0\x91\xaa" +
-	"\xadNK#r\x8bp\x9c\xf9&g\xc9\xc9nG6" +
-	"\xfb\x068\x96\xdfz\x905\xec\x98\xeb\x84\x9f6\x890" +
-	"4l\xaf\xb9\xb9i\x84D\xbbsC\x97\x06\xda\x81%" +
-	"\xc0\x863@;\xc0\x1c\x9b'\xe1'Cb\x9e\x84}" +
-	"\xe7J\xcb\xbd\xf1.|\xe1\x99\xb8/\xf8CE|\xed" +
-	".|\xa1\xbf\xa55\xba\x96%\x0d\xbb\x06#}\xc4\xe5" +
-	"#=\xe6\xa6T\x976\xdcMg\xc6\xe6@\xe0\x10\xcf" +
-	"\x8d\xfa\x8d\xf9jl`\xbcB\x81\x0b\x1c\xc5\x9b\xd4\x98" +
-	"\xcck\xcc7h\xdc\xfc\x94\xa3\xf8=K\xb6\xa2\x15\xfa" +
-	"n\x98\xc1\x9c.\xf5\xd3DvX\xda\xf0\xc3+,m" +
-	"GZ3\xb2C\x7f\xf2\x83\xa8\xa3\x0a\x80#\x93\xa6\xa5" +
-	"K\xab\xff_\x13\x1dv\xcc,\x12\x0b\x89J}\"\xee" +
-	"\x91\xcc/\xd5\xee\xd8\xe4\x09J\x157I\xae\xb5\x03\xa3" +
-	"p\xc70f\x81a\x16\xb0\xd8\xd2&e\xbf\x0e\xaf\xc9" +
-	"b\xa7\xdb\xb2\x13\xef\x8f\xf6\xf2\xe8\xd1\xcd=z\xce\xec" +
-	"\xda\x0dS\x97\x98\x01\x86\x19\xc0\xb9\x19O\x18\xa1O\xdb" +
-	"\xf2\xac\x1d\x18\xcfF\x1a\xaa\xae\xbe\x09\xc7\xb6\x10\xc7\x1b" +
-	"\xc3~\xd9\xae\xc6p\xfc\x82\x86\xedU\x8e\xe2\xb7\x11\x8e" +
-	"wv\x00\x88_\xf9\x9e\x14(a\xedP\xcc\x93\x02%" +
-	"\xdc\xdc\x1d\xf7\xa44\xf7\\\x06\x91^\xba\xcd\xb1\xbe\xd5" +
-	"5\x99\x0b\x9e\xc9|\x0c\xc7\x01\xea\x152\x93\xed\xb8A" +
-	"9\x9b\x8c\xee\xac\xdal\xf6\x95\xc0\x88%usF\xf6" +
-	"=/NK\xd9N\xc8\xaa\xdaiK\xa3\x99\xd8t\xdc" +
-	"\xcd\x07[\xadM\xbea\xbele}y\xf5\x1e\x11!" +
-	"\xadC;b3bJ;\x13\xe6\x99m\x99\xb3\xc1\xfa" +
-	"\x7f\x01\x00\x00\xff\xffpX4\xb1"
+const schema_b19c1b1b6a3f5d27 = "x\xda\x94W\x7fl\x1cG\x15~of\xcf\xe7\x8b}" +
+	"\xb9;\xed\x15\x05B\xb8\xf0\xbb\x0dM\xd5:\xa9\x04\x11" +
+	"\xc8\x89\x93\xa0\xc6\xc4\x92\xe7\xae\x81\xa6JD7wc" +
+	"\xdf:\xb7?\xb4\xb7\xe7\xa4\xa8\xc5i\x94\xa2\xa6\xb4\xa4" +
+	"\x15EB\xc8H4\xa2\x7f\xd4**E\x0a\xb4\xc8H" +
+	"\xfch\x80TT\xa5\x95%\x88\x08H\xf0\x07\xd4\x15-" +
+	" \xaaBK\xcc\xa2\xb7\xbb\xb7\xbbY\xdfY\xe6\xbf\xb9" +
+	"\x99\xb73\xef\xfb\xe6}\xdf\x9b\xbb\xf9\x1de\xb7rK" +
+	"\xfe\xdc\x000q03\xe0is\x9f)lzi\xe9" +
+	"K 6\"z\x1f=::\xb3y\xf3\xfc3\xb0\x1f" +
+	"\xb3\x19\x00u;\xff\x9ez+\xcf\x02\xec\xb8\x85W\x10" +
+	"\xd0[Z\xbcs\xe5\xc8\x0f\xce|\x99\xc2Y\x1c\x9ea" +
+	"Y\x00uBYP\x0f)4\x12\xca_\x00\xbd=\xef" +
+	"<\xb54\xffv\xf9q\x0a\xe6\x89`\x0a\xd9\xf1\x89\x0c" +
+	"Cu\x7f\x86\x86{2\xe7h\xef\x1f>\xf3\xc5\xd6[" +
+	"\x07\xce-\xa4R\x09\xf6\xbe.\xbb\xa0n\xc9\xd2\xe8\xdd" +
+	"Y\xda\xfb\xba\xdf\x7f\xfa\x9f\x9f\xdf\xfc\xb7\x9f\xa5\x13\xa1" +
+	"d\xd5\xcc\xe0kji\x90\xb6\xce\x0f\xfai\xffi\xf1" +
+	"s\x13\xff\xfe\xc3\x1b?OE\xfb\xb9\x1e\xca-\xa8G" +
+	"s4:\x9c;\x01\xe8\x1d\xf0>\xf8\x11\xfd\xea\xbb^" +
+	"J\xef\x8c\x14r!w^\xfd\x91\x1f\xfc\\\xeei@" +
+	"o\xd3[\xcb\xd6\x93\xcf^\xe9\x1d|t\xc3\x0b\xaa\xbe" +
+	"\x81Fr\x03\x05\xbf\xf1\xfd\xd7\xbe\xba2\xfe\xe1\x97{" +
+	"\x06g\x86~\xaa\xe6\x87h\x94\x1b\xa2\xe0\xa9\xdf]\x96" +
+	"\xff\xba\xe9\xf9\xa5\x14y~\xca\x8f\x0f\xbd\xa2~\x87b" +
+	"w<9\xe4\xe3\xc3\xd9?\x9f\xbe\xfe\xf9\xa7~\xd3\x0b" +
+	"\xdfO\x86_Q_\x1c\xa6\xd1\xa5a\xda\xf8\xdb+\x1f" +
+	"\xdb\xf9\x84q\xf4J\x9af?\x0b\x99?\xaf\x1ay\x1a" +
+	"\xe9y\"cD\xbf\xf8\xbe\xdc\xa9'^M\xa7<@" +
+	"!\x17\xf3\xe7\xd5\x17)x\xc7\xa5\xfc/(\x8d\xe3_" +
+	"\xb9c\xe3\xd0\xdb\x97\x96{\x02\xfcc\xe1\x05\xf5\xf5\x02" +
+	"\x8d\x96\x0b\x94\xc7\xf2\x96\x99\xb1}\x87\x8f\xbf\xd93\xf8" +
+	"lqA}\xb4H\xa3\x87\x8bO\xc3v\xafn\x99\xae" +
+	"c\xb5n\xc2\xbaf\x9b\xf6\xae\xbdV\xc504\xb31" +
+	"\x89(\xca\\\x19\xf6<\x05\x01J\xf7V\x01\xc4=\x1c" +
+	"\xc5\x03\x0c\xf3\xf8_\xaf\x8c4{\xff.\x00q\x8a\xa3" +
+	"x\x88a\x9e\xadxed\x00\xa5\xb3\xe3\x00\xe2\x01\x8e" +
+	"\xe21\x86y~\xd5+#\x07(=:\x02 \x1e\xe2" +
+	"(\xbe\xce0\xaf\xfc\xc7+\xa3\x02P\xfa\xda\x0c\x80x" +
+	"\x8c\xa3\xf8\x16CJeJ\x9f\xee8\x80\x12\x8b\xf1\x9d" +
+	"\x02b\x11p\xd4\x91\xae\xee\xd0B\xa4\x94`\xc1\xab[" +
+	"\x86\xdd\x92\xae\x04\x00,\xc6L\x05\xab\x15\xbb\xa5\xd5\xe9" +
+	"\xab\xa8\xf8\xc2\xafZRk\xcb\xa6\xd5\x82BC:m" +
+	",\xc6\x9a\x8a\xb6\xbd\x86\x98\xaa,\xd0\xf9\xc4K\x91+" +
+	"\x00>-\x1a\x81:\xc2Q4\x19\"\x06\xa4\xc8;\x01" +
+	"D\x83\xa3\xb0\x19\x96\x18\x06\x9c\x18\xc4T\x93\xa38\xc3" +
+	"\xb0\xc4Y@\xc9}c1\xa9\x95\xb6k\xf9\xe8\xa2\"" +
+	"\x0a\xd3ht\x1c\xcd\xd5-\x13\xf8D\x1b3\xc00\x03" +
+	"8\xea\x07\xb7q#\xe0$\xc7\xd4G\x1b\x01\xe7\x0c\xdd" +
+	"\xd4\x8d\x8e\x81\x83\xc0p0\x81\x85\x07X\x0e\x86\xd8\x1b" +
+	"\xd2\xd9\xdb\xd4\xcci\x09\x04\xeb\xbd\x11\xac\x0b\x04\xeb\xbb" +
+	"\x1c\xc5\"\xc3R\x17\xd7s\x0f\x02\x88E\x8e\xe2\x97\x0c" +
+	"\x91\x05\xb0.~\x00@\xfc\x98\xa3\xb8B\xb00\x80u" +
+	"\x99\xb0.q\x14\x7fgXRXp\xd1\xafo\x03\x10" +
+	"\xafr\xac)\xc8\xb0\x94\xe1e$\x17D\xa4\x93\xaer" +
+	"\xacm\xa2\xe9\x81Se\x1c K\xc2q\x80Z\x199" +
+	"\xd6\xb6\"\xc3\x8a\xb4\xadz\x13s\xc00\x07\xe8\xc9\x93" +
+	"\xb6\xac\xbb\xb2\x81U9\xab\xb7\x89\x1a\xe8\xaee\xb5F" +
+	"#f%\xd2n\xc0\xca\xa8#\x0dkV\xf6]/\x1c" +
+	"\x97\xd2\xee\xae\x0e\x03\xa3a\xa5mK\xb3\x91\x9a\xf4\xfc" +
+	"\xc9=\xad\x16U\x1c\x02C\xecY.\xb6\xe5\xb8\xfd\xcb" +
+	"%\xe2U\x12]wq\x14\xf7\xc4\xbc\xdeMr;\xd9" +
+	"-\x97\x90\xd7\xfb\xc6c\xb5\xf5+\x97\xd1zS\xd3\xcd" +
+	"DeDf\x17`\xf4\xa6,\xe7\x84\xe64$`#" +
+	"J]7lMwd\xa3\x17\x1c\x96\xae\x98\x82S\x93" +
+	"n\xe8\x0e!\xac{G\x12\xd9va%\xb3\xed\xc2:" +
+	"K\x05\x7f&P{\x04\xeb\x9b\x148\xcfQ<\x9b(" +
+	"\x97\x0b\xbb\xc2\x0a\xfc\xd5\xaa\xebw\xa2[\x8f\xae}\xce" +
+	"\x90\xc61Rq\xbf\xab\xf5\x1c\xd9\x96\xce\xacl\xd3G" +
+	"\xd7^\xe6\xe8\x94\xe5\x18\xd2\xe9\xffi\xeab\xf7\xe9\x85" +
+	"i\xd9\xf6\x19\x18\x8c\x18\xb8\x81\xaa\xfbC\x1c\xc5\xcd\x09" +
+	"\x06\xb6\x938\xae\xe7(v2,4\xf5\xe9\x08B\xb6" +
+	"e\x9d\x88\xe0\xa4\xb6\x9fle\xb5\xba\xef2\xc3\xd1\xee" +
+	"\xfbO\x03\x88}\x1c\xc5db\xf7\x09\x92\xe3$Gq" +
+	"$\xe6\xf70]\xc4\xed\x1c\xc5],!\x93\xcfJ\xc7" +
+	"\xe7k=\x02\xaa\xb8\xda\xb1\x96\xc4<0\xcc\xaf\xae\x82" +
+	"\xaao\xc1\x864]\x80T\x8at\xf2n\x8e\xe2`l" +
+	"\x84\x07\xc8\x08o\xe3(n'#\xdc\x1d\xa4(\xaaq" +
+	"\xda\xff\x97\xe7\xc56\x9f\xa8\xdcT~{\xc3\x06\"\xd7" +
+	"\xc8.\"\xf0\xc0H\xccj\x97\xc0\x89mq\xca\x15[" +
+	"s\xeb\xcd\xeeQ\x15\xc3\xff\x15\xd2T8f5\xee\xee" +
+	"\xc7\xd2^\x92`\xcd\xd5\xdc\x0e\xb6\xd7#\x94\x91\xb8\x0b" +
+	"\x94\xd8\xd6 \x91\xfb\xc7C\xa5<BJy\x7f\xa0\x94" +
+	"\x87\xc7\xe3\x16ZR\x94\xb0\x83\x92\xa6\x1e\xe1(\xe6\x19" +
+	"V|\xf5w]?\xa5\x9bd\x9b\x8c\xf8\xd3:\xd3M" +
+	"\xf7\x90\x9d\x98\x9bs:\xa6\xa9\x9b\xd3\xabz\xc7*'" +
+	"@'\xc5\xf2{\x92,\xb3\x90\xe5m\x89\xda\xedv\xc3" +
+	"\x09\xaa\x8c\x83\x1c\xc5\x1d\x0c\xb9nw\x8f\xf2\x1d\x13\xb3" +
+	"\xc00\x0b\xe8MKSR\x19\x00\xb7\xcc~j\xa9\xb9" +
+	"Y+\xe8\xc9\xbd\xb5\x18Iq,!ES3\xa4\xaf" +
+	"\xfeaB+\xed\x96^\xd7\xd68@s\xfd\x03\xb6F" +
+	"\x07\xbcL\xd7\xf0\xeb\xb0\xe9uO\xb8L\x93\xbf\xe5(" +
+	"\xde$\x9ca9\xfd\x83\x8e\xfd+\xc7\xda u7\xce" +
+	"\xfdkT3x\x0c\xa0\xa6t\xbb\x1b\x06\x17\xa9n\xc1" +
+	"o\x00\xd4\xb6\xd2\xf4\x8d~\x8f\xc4\xa0G\xde\x80\x0f\x02" +
+	"\xd4n\xa4\xf9\x8f\xfbMR\x09\x9a\xe4\xadX\x05\xa8\xed" +
+	"\xa4\xf9\xdd4\x9f\xcd\x94\xfd\x07\xde\xa7p\x06\xa0\xf6I" +
+	"\x9a\xbf\x0d\x19z\x0d\xab\xde\x09$\x0bQ\xc5j\xf5\xba" +
+	"\xb4\xdd\xc0\xf1#\xe3\x8b\x9e\xf2\xe1#\xc2\x91S\x9d\xb6" +
+	"l\xf4\x0d\xf0\x9c\xd0\x0e k\xba\x09\xef\x8d^\xee\xa9" +
+	"04\xdd\xc0p\x92\x17\xea?\xcf\x0ci\xa2\xdb\xb5)" +
+	"X\xb5\x06\xe8F\x99\xafz\xb6E\x7fWR\xcf\xb6\xc8" +
+	"\x12\xfc\xaa\xf77^\x87e\x9dNZVX\xad\xe2\x0b" +
+	"\xeb\xb0\xac\xfen[\xef8\x8e4\xdd*\x8c\xae]j" +
+	"UYhwZn*\xc9\xb1^\xce5\xb6\xb6s\xcd" +
+	"Y\x1d\xb7n\x19\x12\x07\x80\xe1\x00\xe0\xdcl\x90S\xe4" +
+	"^\xae<\xe9v\x15\xf0\xbf\x00\x00\x00\xff\xff\xdd\x9eR" +
+	"\xc5"
 
 func RegisterSchema(reg *schemas.Registry) {
 	reg.Register(&schemas.Schema{
@@ -2042,19 +2046,19 @@
 		Nodes: []uint64{
 			0x86d4cf180f4b7f61,
 			0x8b84b75cfd5abcd4,
+			0xa114f99cd4acfa41,
 			0xaa8f49f66c7eb1ba,
+			0xc3ef1b5ff346dd15,
+			0xc6eedef84d57bce2,
 			0xcf16fc692623ff49,
 			0xcfdcb8a96fe9f618,
 			0xd1254afd93eab6ee,
 			0xd4c42ef765d9db66,
+			0xd7acc42882e67601,
 			0xdc5d6da5342bfda4,
 			0xe8a580091ec56932,
 			0xe9c9f90b0e588e6b,
-			0xed04a684643d88d8,
-			0xf28a54a6920d9c06,
 			0xf46b5944426a1de9,
-			0xf4c10822300941a5,
-			0xfb52b23efba060c4,
 		},
 		Compressed: true,
 	})
--- a/internal/control/leaseholders_codec.go
+++ b/internal/control/leaseholders_codec.go
@@ -12,7 +12,7 @@
 )
 
 func fillChangeLeaseholders(root controlwire.Command, command *ChangeLeaseholders) error {
-	target, err := root.NewHolders()
+	target, err := root.NewLeaseholders()
 	if err != nil {
 		return err
 	}
@@ -28,7 +28,7 @@
 }
 
 func fillLeaseholderSet(root controlwire.State, set *LeaseholderSet) error {
-	target, err := root.NewHolders()
+	target, err := root.NewLeaseholders()
 	if err != nil {
 		return err
 	}
@@ -76,7 +76,7 @@
 	return names, nil
 }
 
-func fillLeaseholders(leaseholders []Leaseholder, newList func(int32) (controlwire.Holder_List, error)) error {
+func fillLeaseholders(leaseholders []Leaseholder, newList func(int32) (controlwire.Leaseholder_List, error)) error {
 	list, err := newList(int32(len(leaseholders)))
 	if err != nil {
 		return err
@@ -85,13 +85,13 @@
 		ip := leaseholder.Address.Addr().As4()
 		list.At(i).SetIp(binary.BigEndian.Uint32(ip[:]))
 		list.At(i).SetPort(leaseholder.Address.Port())
-		list.At(i).SetLife(leaseholder.Generation)
+		list.At(i).SetGeneration(leaseholder.Generation)
 	}
 	return nil
 }
 
 func readChangeLeaseholders(root controlwire.Command) (*Command, error) {
-	source, err := root.Holders()
+	source, err := root.Leaseholders()
 	if err != nil {
 		return nil, err
 	}
@@ -113,7 +113,7 @@
 }
 
 func readLeaseholderSet(root controlwire.State) (LeaseholderSet, error) {
-	source, err := root.Holders()
+	source, err := root.Leaseholders()
 	if err != nil {
 		return LeaseholderSet{}, err
 	}
@@ -128,7 +128,7 @@
 	return set, err
 }
 
-func readLeaseholders(list controlwire.Holder_List, err error) ([]Leaseholder, error) {
+func readLeaseholders(list controlwire.Leaseholder_List, err error) ([]Leaseholder, error) {
 	if err != nil {
 		return nil, err
 	}
@@ -141,7 +141,7 @@
 		ip := [4]byte{}
 		binary.BigEndian.PutUint32(ip[:], element.Ip())
 		address := netip.AddrPortFrom(netip.AddrFrom4(ip), element.Port())
-		leaseholders = append(leaseholders, Leaseholder{Address: address, Generation: element.Life()})
+		leaseholders = append(leaseholders, Leaseholder{Address: address, Generation: element.Generation()})
 	}
 	return leaseholders, nil
 }
--- a/internal/control/state_codec.go
+++ b/internal/control/state_codec.go
@@ -20,7 +20,7 @@
 		if err := root.SetPlacement(s.Placement); err != nil {
 			return err
 		}
-		if err := fillDigests(accepted, root.NewTaken); err != nil {
+		if err := fillDigests(accepted, root.NewAccepted); err != nil {
 			return err
 		}
 		if err := fillDigests(refused, root.NewRefused); err != nil {
@@ -33,7 +33,7 @@
 	})
 }
 
-func fillDigests(digests []Digest, newList func(int32) (controlwire.Order_List, error)) error {
+func fillDigests(digests []Digest, newList func(int32) (controlwire.Digest_List, error)) error {
 	list, err := newList(int32(len(digests)))
 	if err != nil {
 		return err
@@ -74,7 +74,7 @@
 	if state, err = readState(root); err != nil {
 		return nil, nil, nil, err
 	}
-	if accepted, err = readDigests(root.Taken()); err != nil {
+	if accepted, err = readDigests(root.Accepted()); err != nil {
 		return nil, nil, nil, err
 	}
 	refused, err = readDigests(root.Refused())
@@ -114,7 +114,7 @@
 	return state.withDocument(document, snapshot), nil
 }
 
-func readDigests(list controlwire.Order_List, err error) ([]Digest, error) {
+func readDigests(list controlwire.Digest_List, err error) ([]Digest, error) {
 	if err != nil {
 		return nil, err
 	}
--- a/internal/member/codec.go
+++ b/internal/member/codec.go
@@ -23,7 +23,7 @@
 	case ackMessage:
 		root.SetAck()
 		root.Ack().SetSequence(m.sequence)
-		root.Ack().SetLife(m.generation)
+		root.Ack().SetGeneration(m.generation)
 	case indirectPingMessage:
 		root.SetIndirectPing()
 		root.IndirectPing().SetSequence(m.sequence)
@@ -56,7 +56,7 @@
 	case memberwire.Datagram_Which_ack:
 		m.messageType = ackMessage
 		m.sequence = root.Ack().Sequence()
-		m.generation = root.Ack().Life()
+		m.generation = root.Ack().Generation()
 	case memberwire.Datagram_Which_indirectPing:
 		m.messageType = indirectPingMessage
 		m.sequence = root.IndirectPing().Sequence()
--- a/internal/member/memberwire/member.capnp
+++ b/internal/member/memberwire/member.capnp
@@ -21,7 +21,7 @@
   address @4 :UInt64;
   controlPlane @5 :UInt64;
   replica @6 :UInt64;
-  life @7 :UInt64;
+  generation @7 :UInt64;
   incarnation @8 :UInt64;
   state @9 :State;
   leaving @10 :Bool;
@@ -30,7 +30,7 @@
 # A change of state of a member whose record is known.
 struct Claim {
   address @0 :UInt64;
-  life @1 :UInt64;
+  generation @1 :UInt64;
   incarnation @2 :UInt64;
   state @3 :State;
 }
@@ -48,7 +48,7 @@
     }
     ack :group {
       sequence @3 :UInt64;
-      life @4 :UInt64;
+      generation @4 :UInt64;
       # Of the process that was probed.
     }
     indirectPing :group {
--- a/internal/member/record_codec.go
+++ b/internal/member/record_codec.go
@@ -56,7 +56,7 @@
 	r.SetAddress(packAddress(m.Address))
 	r.SetControlPlane(packAddress(m.ControlPlane))
 	r.SetReplica(m.Replica)
-	r.SetLife(m.Generation)
+	r.SetGeneration(m.Generation)
 	r.SetIncarnation(m.Incarnation)
 	r.SetState(memberwire.State(m.State))
 	r.SetLeaving(m.Leaving)
@@ -80,7 +80,7 @@
 	for i, asserted := range assertions {
 		item := list.At(i)
 		item.SetAddress(packAddress(asserted.address))
-		item.SetLife(asserted.generation)
+		item.SetGeneration(asserted.generation)
 		item.SetIncarnation(asserted.incarnation)
 		item.SetState(memberwire.State(asserted.state))
 	}
@@ -110,7 +110,7 @@
 		Address:      unpackAddress(r.Address()),
 		ControlPlane: unpackAddress(r.ControlPlane()),
 		Replica:      r.Replica(),
-		Generation:   r.Life(),
+		Generation:   r.Generation(),
 		Incarnation:  r.Incarnation(),
 		State:        State(r.State()),
 		Leaving:      r.Leaving(),
@@ -144,7 +144,7 @@
 		item := list.At(i)
 		assertions[i] = assertion{
 			address:     unpackAddress(item.Address()),
-			generation:  item.Life(),
+			generation:  item.Generation(),
 			incarnation: item.Incarnation(),
 			state:       State(item.State()),
 		}
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -42,7 +42,7 @@
 	switch f.frameType {
 	case helloFrame:
 		root.SetHello()
-		root.Hello().SetLife(f.generation)
+		root.Hello().SetGeneration(f.generation)
 		if err := root.Hello().SetAddress(capnpcodec.EncodeAddress(f.address)); err != nil {
 			return err
 		}
@@ -83,7 +83,7 @@
 	switch root.Which() {
 	case peerwire.Frame_Which_hello:
 		f.frameType = helloFrame
-		f.generation = root.Hello().Life()
+		f.generation = root.Hello().Generation()
 		return f, f.decodeHelloAddress(root)
 	case peerwire.Frame_Which_request:
 		f.frameType = requestFrame
--- a/internal/peer/peerwire/peer.capnp
+++ b/internal/peer/peerwire/peer.capnp
@@ -14,7 +14,7 @@
       # First frame in both directions.
       address @2 :Data;
       # Listening address of the sender: four bytes of the IPv4 number, two of the port, in network order.
-      life @3 :UInt64;
+      generation @3 :UInt64;
       # Random number of the sending process.
     }
     request :group {
--- a/internal/quota/codec.go
+++ b/internal/quota/codec.go
@@ -10,8 +10,8 @@
 )
 
 func encodeRenewal(renewal *Renewal) ([]byte, error) {
-	data, err := capnpcodec.Marshal(0, quotawire.NewRootRequest, func(root quotawire.Request) error {
-		root.SetLife(renewal.Generation)
+	data, err := capnpcodec.Marshal(0, quotawire.NewRootRenewal, func(root quotawire.Renewal) error {
+		root.SetGeneration(renewal.Generation)
 		root.SetSequence(renewal.Sequence)
 		root.SetEpoch(renewal.Epoch)
 		root.SetComplete(renewal.Complete)
@@ -21,7 +21,7 @@
 	return data, merry.Prepend(err, "encode quota renewal")
 }
 
-func encodeEntries(root quotawire.Request, entries []Entry) error {
+func encodeEntries(root quotawire.Renewal, entries []Entry) error {
 	list, err := root.NewEntries(int32(len(entries)))
 	if err != nil {
 		return err
@@ -41,7 +41,7 @@
 }
 
 func decodeRenewal(data []byte) (*Renewal, error) {
-	root, err := capnpcodec.Unmarshal(data, quotawire.ReadRootRequest)
+	root, err := capnpcodec.Unmarshal(data, quotawire.ReadRootRenewal)
 	if err != nil {
 		return nil, merry.Prepend(err, "decode quota renewal")
 	}
@@ -50,7 +50,7 @@
 		return nil, merry.Prepend(err, "decode quota renewal")
 	}
 	return &Renewal{
-		Generation: root.Life(),
+		Generation: root.Generation(),
 		Sequence:   root.Sequence(),
 		Epoch:      root.Epoch(),
 		Complete:   root.Complete(),
@@ -59,7 +59,7 @@
 	}, nil
 }
 
-func decodeEntries(list quotawire.RequestEntry_List, err error) ([]Entry, error) {
+func decodeEntries(list quotawire.RenewalEntry_List, err error) ([]Entry, error) {
 	if err != nil {
 		return nil, err
 	}
@@ -89,7 +89,7 @@
 	data, err := capnpcodec.Marshal(0, quotawire.NewRootAnswer, func(root quotawire.Answer) error {
 		root.SetMoved(answer.moved)
 		root.SetEpoch(answer.epoch)
-		root.SetUnheard(answer.mustReclaim)
+		root.SetMustReclaim(answer.mustReclaim)
 		root.SetUnsettled(answer.unsettled())
 		if answer.allocator.IsValid() {
 			if err := root.SetAllocator(capnpcodec.EncodeAddress(answer.allocator)); err != nil {
@@ -111,7 +111,7 @@
 		entry.SetRate(grant.Lease.Rate)
 		entry.SetDepth(grant.Lease.Depth)
 		entry.SetGranted(uint32(grant.Granted))
-		entry.SetRetryMs(uint32(grant.RetryAfter.Milliseconds()))
+		entry.SetRetryAfterMs(uint32(grant.RetryAfter.Milliseconds()))
 	}
 	return nil
 }
@@ -134,7 +134,7 @@
 		moved:       root.Moved(),
 		allocator:   allocator,
 		epoch:       root.Epoch(),
-		mustReclaim: root.Unheard(),
+		mustReclaim: root.MustReclaim(),
 		grants:      grants,
 	}, nil
 }
@@ -154,7 +154,7 @@
 		grants[i] = Grant{
 			Lease:      Share{Rate: entry.Rate(), Depth: entry.Depth()},
 			Granted:    int(entry.Granted()),
-			RetryAfter: time.Duration(entry.RetryMs()) * time.Millisecond,
+			RetryAfter: time.Duration(entry.RetryAfterMs()) * time.Millisecond,
 			Unsettled:  unsettled,
 		}
 	}
--- a/internal/quota/quotawire/quota.capnp
+++ b/internal/quota/quotawire/quota.capnp
@@ -4,12 +4,12 @@
 $Go.import("nickelline/internal/quota/quotawire");
 
 # A proxy renews its leases and asks for single requests.
-struct Request {
-  life @0 :UInt64;
+struct Renewal {
+  generation @0 :UInt64;
   # Random number of the proxy's process.
   sequence @1 :UInt64;
   # Rises with each request of the process; the allocator takes none twice and none out of order.
-  entries @2 :List(RequestEntry);
+  entries @2 :List(RenewalEntry);
   epoch @3 :UInt64;
   # Newest epoch of an allocator that the process has heard of.
   complete @4 :Bool;
@@ -18,7 +18,7 @@
   # The process is about to end: it holds nothing and asks for nothing any more.
 }
 
-struct RequestEntry {
+struct RenewalEntry {
   tenant @0 :Text;
   rate @1 :Float64;
   # Requests a second that the proxy's lease allows.
@@ -41,7 +41,7 @@
   # Address of the allocator as far as known: four bytes of the IPv4 number, two of the port, in network order.
   epoch @3 :UInt64;
   # That of the allocator, if this node is the allocator.
-  unheard @4 :Bool;
+  mustReclaim @4 :Bool;
   # The allocator waits for a complete renewal of this process.
   unsettled @5 :Bool;
   # What was not granted may be under the limits: the allocator knows not all leases yet, or records that it spends a reserve.
@@ -56,6 +56,6 @@
   rate @0 :Float64;
   depth @1 :Float64;
   granted @2 :UInt32;
-  retryMs @3 :UInt32;
+  retryAfterMs @3 :UInt32;
   # When more may be granted; 0: at once.
 }
--- a/internal/quota/quotawire/quota.capnp.go
+++ b/internal/quota/quotawire/quota.capnp.go
@@ -9,253 +9,253 @@
 	math "math"
 )
 
-type Request capnp.Struct
+type Renewal capnp.Struct
 
-// Request_TypeID is the unique identifier for the type Request.
-const Request_TypeID = 0xa225796ecbecde85
+// Renewal_TypeID is the unique identifier for the type Renewal.
+const Renewal_TypeID = 0xbbbdedcd63444e60
 
-func NewRequest(s *capnp.Segment) (Request, error) {
+func NewRenewal(s *capnp.Segment) (Renewal, error) {
 	st, err := capnp.NewStruct(s, capnp.ObjectSize{DataSize: 32, PointerCount: 1})
-	return Request(st), err
+	return Renewal(st), err
 }
 
-func NewRootRequest(s *capnp.Segment) (Request, error) {
+func NewRootRenewal(s *capnp.Segment) (Renewal, error) {
 	st, err := capnp.NewRootStruct(s, capnp.ObjectSize{DataSize: 32, PointerCount: 1})
-	return Request(st), err
+	return Renewal(st), err
 }
 
-func ReadRootRequest(msg *capnp.Message) (Request, error) {
+func ReadRootRenewal(msg *capnp.Message) (Renewal, error) {
 	root, err := msg.Root()
-	return Request(root.Struct()), err
+	return Renewal(root.Struct()), err
 }
 
-func (s Request) String() string {
-	str, _ := text.Marshal(0xa225796ecbecde85, capnp.Struct(s))
+func (s Renewal) String() string {
+	str, _ := text.Marshal(0xbbbdedcd63444e60, capnp.Struct(s))
 	return str
 }
 
-func (s Request) EncodeAsPtr(seg *capnp.Segment) capnp.Ptr {
+func (s Renewal) EncodeAsPtr(seg *capnp.Segment) capnp.Ptr {
 	return capnp.Struct(s).EncodeAsPtr(seg)
 }
 
-func (Request) DecodeFromPtr(p capnp.Ptr) Request {
-	return Request(capnp.Struct{}.DecodeFromPtr(p))
+func (Renewal) DecodeFromPtr(p capnp.Ptr) Renewal {
+	return Renewal(capnp.Struct{}.DecodeFromPtr(p))
 }
 
-func (s Request) ToPtr() capnp.Ptr {
+func (s Renewal) ToPtr() capnp.Ptr {
 	return capnp.Struct(s).ToPtr()
 }
-func (s Request) IsValid() bool {
+func (s Renewal) IsValid() bool {
 	return capnp.Struct(s).IsValid()
 }
 
-func (s Request) Message() *capnp.Message {
+func (s Renewal) Message() *capnp.Message {
 	return capnp.Struct(s).Message()
 }
 
-func (s Request) Segment() *capnp.Segment {
+func (s Renewal) Segment() *capnp.Segment {
 	return capnp.Struct(s).Segment()
 }
-func (s Request) Life() uint64 {
+func (s Renewal) Generation() uint64 {
 	return capnp.Struct(s).Uint64(0)
 }
 
-func (s Request) SetLife(v uint64) {
+func (s Renewal) SetGeneration(v uint64) {
 	capnp.Struct(s).SetUint64(0, v)
 }
 
-func (s Request) Sequence() uint64 {
+func (s Renewal) Sequence() uint64 {
 	return capnp.Struct(s).Uint64(8)
 }
 
-func (s Request) SetSequence(v uint64) {
+func (s Renewal) SetSequence(v uint64) {
 	capnp.Struct(s).SetUint64(8, v)
 }
 
-func (s Request) Entries() (RequestEntry_List, error) {
+func (s Renewal) Entries() (RenewalEntry_List, error) {
 	p, err := capnp.Struct(s).Ptr(0)
-	return RequestEntry_List(p.List()), err
+	return RenewalEntry_List(p.List()), err
 }
 
-func (s Request) HasEntries() bool {
+func (s Renewal) HasEntries() bool {
 	return capnp.Struct(s).HasPtr(0)
 }
 
-func (s Request) SetEntries(v RequestEntry_List) error {
+func (s Renewal) SetEntries(v RenewalEntry_List) error {
 	return capnp.Struct(s).SetPtr(0, v.ToPtr())
 }
 
 // NewEntries sets the entries field to a newly
-// allocated RequestEntry_List, preferring placement in s's segment.
-func (s Request) NewEntries(n int32) (RequestEntry_List, error) {
-	l, err := NewRequestEntry_List(capnp.Struct(s).Segment(), n)
+// allocated RenewalEntry_List, preferring placement in s's segment.
+func (s Renewal) NewEntries(n int32) (RenewalEntry_List, error) {
+	l, err := NewRenewalEntry_List(capnp.Struct(s).Segment(), n)
 	if err != nil {
-		return RequestEntry_List{}, err
+		return RenewalEntry_List{}, err
 	}
 	err = capnp.Struct(s).SetPtr(0, l.ToPtr())
 	return l, err
 }
-func (s Request) Epoch() uint64 {
+func (s Renewal) Epoch() uint64 {
 	return capnp.Struct(s).Uint64(16)
 }
 
-func (s Request) SetEpoch(v uint64) {
+func (s Renewal) SetEpoch(v uint64) {
 	capnp.Struct(s).SetUint64(16, v)
 }
 
-func (s Request) Complete() bool {
+func (s Renewal) Complete() bool {
 	return capnp.Struct(s).Bit(192)
 }
 
-func (s Request) SetComplete(v bool) {
+func (s Renewal) SetComplete(v bool) {
 	capnp.Struct(s).SetBit(192, v)
 }
 
-func (s Request) Leaving() bool {
+func (s Renewal) Leaving() bool {
 	return capnp.Struct(s).Bit(193)
 }
 
-func (s Request) SetLeaving(v bool) {
+func (s Renewal) SetLeaving(v bool) {
 	capnp.Struct(s).SetBit(193, v)
 }
 
-// Request_List is a list of Request.
-type Request_List = capnp.StructList[Request]
+// Renewal_List is a list of Renewal.
+type Renewal_List = capnp.StructList[Renewal]
 
-// NewRequest creates a new list of Request.
-func NewRequest_List(s *capnp.Segment, sz int32) (Request_List, error) {
+// NewRenewal creates a new list of Renewal.
+func NewRenewal_List(s *capnp.Segment, sz int32) (Renewal_List, error) {
 	l, err := capnp.NewCompositeList(s, capnp.ObjectSize{DataSize: 32, PointerCount: 1}, sz)
-	return capnp.StructList[Request](l), err
+	return capnp.StructList[Renewal](l), err
 }
 
-// Request_Future is a wrapper for a Request promised by a client call.
-type Request_Future struct{ *capnp.Future }
+// Renewal_Future is a wrapper for a Renewal promised by a client call.
+type Renewal_Future struct{ *capnp.Future }
 
-func (f Request_Future) Struct() (Request, error) {
+func (f Renewal_Future) Struct() (Renewal, error) {
 	p, err := f.Future.Ptr()
-	return Request(p.Struct()), err
+	return Renewal(p.Struct()), err
 }
 
-type RequestEntry capnp.Struct
+type RenewalEntry capnp.Struct
 
-// RequestEntry_TypeID is the unique identifier for the type RequestEntry.
-const RequestEntry_TypeID = 0xf7ff3b0ce32e3238
+// RenewalEntry_TypeID is the unique identifier for the type RenewalEntry.
+const RenewalEntry_TypeID = 0xdece0a4be95318c4
 
-func NewRequestEntry(s *capnp.Segment) (RequestEntry, error) {
+func NewRenewalEntry(s *capnp.Segment) (RenewalEntry, error) {
 	st, err := capnp.NewStruct(s, capnp.ObjectSize{DataSize: 40, PointerCount: 1})
-	return RequestEntry(st), err
+	return RenewalEntry(st), err
 }
 
-func NewRootRequestEntry(s *capnp.Segment) (RequestEntry, error) {
+func NewRootRenewalEntry(s *capnp.Segment) (RenewalEntry, error) {
 	st, err := capnp.NewRootStruct(s, capnp.ObjectSize{DataSize: 40, PointerCount: 1})
-	return RequestEntry(st), err
+	return RenewalEntry(st), err
 }
 
-func ReadRootRequestEntry(msg *capnp.Message) (RequestEntry, error) {
+func ReadRootRenewalEntry(msg *capnp.Message) (RenewalEntry, error) {
 	root, err := msg.Root()
-	return RequestEntry(root.Struct()), err
+	return RenewalEntry(root.Struct()), err
 }
 
-func (s RequestEntry) String() string {
-	str, _ := text.Marshal(0xf7ff3b0ce32e3238, capnp.Struct(s))
+func (s RenewalEntry) String() string {
+	str, _ := text.Marshal(0xdece0a4be95318c4, capnp.Struct(s))
 	return str
 }
 
-func (s RequestEntry) EncodeAsPtr(seg *capnp.Segment) capnp.Ptr {
+func (s RenewalEntry) EncodeAsPtr(seg *capnp.Segment) capnp.Ptr {
 	return capnp.Struct(s).EncodeAsPtr(seg)
 }
 
-func (RequestEntry) DecodeFromPtr(p capnp.Ptr) RequestEntry {
-	return RequestEntry(capnp.Struct{}.DecodeFromPtr(p))
+func (RenewalEntry) DecodeFromPtr(p capnp.Ptr) RenewalEntry {
+	return RenewalEntry(capnp.Struct{}.DecodeFromPtr(p))
 }
 
-func (s RequestEntry) ToPtr() capnp.Ptr {
+func (s RenewalEntry) ToPtr() capnp.Ptr {
 	return capnp.Struct(s).ToPtr()
 }
-func (s RequestEntry) IsValid() bool {
+func (s RenewalEntry) IsValid() bool {
 	return capnp.Struct(s).IsValid()
 }
 
-func (s RequestEntry) Message() *capnp.Message {
+func (s RenewalEntry) Message() *capnp.Message {
 	return capnp.Struct(s).Message()
 }
 
-func (s RequestEntry) Segment() *capnp.Segment {
+func (s RenewalEntry) Segment() *capnp.Segment {
 	return capnp.Struct(s).Segment()
 }
-func (s RequestEntry) Tenant() (string, error) {
+func (s RenewalEntry) Tenant() (string, error) {
 	p, err := capnp.Struct(s).Ptr(0)
 	return p.Text(), err
 }
 
-func (s RequestEntry) HasTenant() bool {
+func (s RenewalEntry) HasTenant() bool {
 	return capnp.Struct(s).HasPtr(0)
 }
 
-func (s RequestEntry) TenantBytes() ([]byte, error) {
+func (s RenewalEntry) TenantBytes() ([]byte, error) {
 	p, err := capnp.Struct(s).Ptr(0)
 	return p.TextBytes(), err
 }
 
-func (s RequestEntry) SetTenant(v string) error {
+func (s RenewalEntry) SetTenant(v string) error {
 	return capnp.Struct(s).SetText(0, v)
 }
 
-func (s RequestEntry) Rate() float64 {
+func (s RenewalEntry) Rate() float64 {
 	return math.Float64frombits(capnp.Struct(s).Uint64(0))
 }
 
-func (s RequestEntry) SetRate(v float64) {
+func (s RenewalEntry) SetRate(v float64) {
 	capnp.Struct(s).SetUint64(0, math.Float64bits(v))
 }
 
-func (s RequestEntry) Depth() float64 {
+func (s RenewalEntry) Depth() float64 {
 	return math.Float64frombits(capnp.Struct(s).Uint64(8))
 }
 
-func (s RequestEntry) SetDepth(v float64) {
+func (s RenewalEntry) SetDepth(v float64) {
 	capnp.Struct(s).SetUint64(8, math.Float64bits(v))
 }
 
-func (s RequestEntry) Demand() float64 {
+func (s RenewalEntry) Demand() float64 {
 	return math.Float64frombits(capnp.Struct(s).Uint64(16))
 }
 
-func (s RequestEntry) SetDemand(v float64) {
+func (s RenewalEntry) SetDemand(v float64) {
 	capnp.Struct(s).SetUint64(16, math.Float64bits(v))
 }
 
-func (s RequestEntry) Need() uint32 {
+func (s RenewalEntry) Need() uint32 {
 	return capnp.Struct(s).Uint32(24)
 }
 
-func (s RequestEntry) SetNeed(v uint32) {
+func (s RenewalEntry) SetNeed(v uint32) {
 	capnp.Struct(s).SetUint32(24, v)
 }
 
-func (s RequestEntry) Returned() float64 {
+func (s RenewalEntry) Returned() float64 {
 	return math.Float64frombits(capnp.Struct(s).Uint64(32))
 }
 
-func (s RequestEntry) SetReturned(v float64) {
+func (s RenewalEntry) SetReturned(v float64) {
 	capnp.Struct(s).SetUint64(32, math.Float64bits(v))
 }
 
-// RequestEntry_List is a list of RequestEntry.
-type RequestEntry_List = capnp.StructList[RequestEntry]
+// RenewalEntry_List is a list of RenewalEntry.
+type RenewalEntry_List = capnp.StructList[RenewalEntry]
 
-// NewRequestEntry creates a new list of RequestEntry.
-func NewRequestEntry_List(s *capnp.Segment, sz int32) (RequestEntry_List, error) {
+// NewRenewalEntry creates a new list of RenewalEntry.
+func NewRenewalEntry_List(s *capnp.Segment, sz int32) (RenewalEntry_List, error) {
 	l, err := capnp.NewCompositeList(s, capnp.ObjectSize{DataSize: 40, PointerCount: 1}, sz)
-	return capnp.StructList[RequestEntry](l), err
+	return capnp.StructList[RenewalEntry](l), err
 }
 
-// RequestEntry_Future is a wrapper for a RequestEntry promised by a client call.
-type RequestEntry_Future struct{ *capnp.Future }
+// RenewalEntry_Future is a wrapper for a RenewalEntry promised by a client call.
+type RenewalEntry_Future struct{ *capnp.Future }
 
-func (f RequestEntry_Future) Struct() (RequestEntry, error) {
+func (f RenewalEntry_Future) Struct() (RenewalEntry, error) {
 	p, err := f.Future.Ptr()
-	return RequestEntry(p.Struct()), err
+	return RenewalEntry(p.Struct()), err
 }
 
 type Answer capnp.Struct
@@ -357,11 +357,11 @@
 	capnp.Struct(s).SetUint64(8, v)
 }
 
-func (s Answer) Unheard() bool {
+func (s Answer) MustReclaim() bool {
 	return capnp.Struct(s).Bit(1)
 }
 
-func (s Answer) SetUnheard(v bool) {
+func (s Answer) SetMustReclaim(v bool) {
 	capnp.Struct(s).SetBit(1, v)
 }
 
@@ -533,11 +533,11 @@
 	capnp.Struct(s).SetUint32(16, v)
 }
 
-func (s AnswerEntry) RetryMs() uint32 {
+func (s AnswerEntry) RetryAfterMs() uint32 {
 	return capnp.Struct(s).Uint32(20)
 }
 
-func (s AnswerEntry) SetRetryMs(v uint32) {
+func (s AnswerEntry) SetRetryAfterMs(v uint32) {
 	capnp.Struct(s).SetUint32(20, v)
 }
 
@@ -558,62 +558,63 @@
 	return AnswerEntry(p.Struct()), err
 }
 
-const schema_e4b1c09d7a3f5502 = "x\xda|\x93\xcfk+U\x1c\xc5\xbf\xe7\xde\x99\xfe\xa0" +
-	"\x89\xed\x90,\xdc\x15A7\x82E\xdb\x8d\xd4E\xb4P" +
-	"\x04\xa1\xd0[)\xdd\xb8p\xc8\\\x9b@r\x93N\xee" +
-	"T#H@p\xab\x1b\x17Z,\xd4\xdaB\x85\x16Z" +
-	"i\xa1\x85\x16RQ\x94\xea\x7f \x0a\xa2Ry?\xe0" +
-	"\xed\x1e\xbc\xcd<\xbe\x99d\xd2\x97W\xden\xee\xe5\xdc" +
-	"3\xe7~\xbe\xe7\xbez\x07o:\xafe'%\x09\xf5" +
-	"\xa2;\x14_\x7fq\xffj\xf4\xc1\x0f\x1b\xa42\x90\xb1" +
-	"X.|\xbc\xd9>\xfa\x97\x9ca\xa2\\\x84\x1fs\x9f" +
-	"\x80\xbf\x9a\xb8&\xc4\x9f\xfdu\xef7\xd3|i\x9b\xb5" +
-	"N_\xebv$\x0bb;\xb7,\x86\x89f\x94X\x01" +
-	"!~\xe1\xd1\xbbo\xaf\x9f\xfd\xf2\x1d\xab1\xe0|\"" +
-	"\xafr\x97\x92\xbf.d\x81\x10\x7f\xfa\xd1\xf6\x1f\xff\x9f" +
-	"|~\x97\xb5\xe2\x863\xfb\xe5\xfe\x94\x1b\xb9\xffX<" +
-	"\xf3\xb7\xec8\xbf>=\xf5O\xe6\x8d\xf8!\xab\xdd\xc1" +
-	"\x1c\xf3\xeeUN\xb9\xac^pW@\xaf\xc4kQ\xcd" +
-	"\xfaSE_\xd4M}\xf6-\xd3\xf8P\x87\xf3\xc6\x86" +
-	"MZ\x04\xd4\x84t\x88\x1c\x10y\xfe\xcbD\xea=\x09" +
-	"U\x12\xf0\x80<xSO\x13\xa9\xf7%TE\xc0\x13" +
-	"N\x1e\x82\xc8+\xcf\x11\xa9@B\xd5\x05<\xe9\xe6!" +
-	"\x89\xbc*o\x96$\x94\x15\x18\x0f}\xab1F\x02c" +
-	"\x84\xc9@\xd7m\xa9\xb7j\xad\x86\xbe\xb1:\xc0\x08\x09" +
-	"\x8c\x10Z\xa1\xb6as\xa1\xd1[\xa7i\xc1i\x97\xf4" +
-	"Z4\xac\x1b\x96\x93>\x9f&\xfd\x9a\x93~)\xa1\xb6" +
-	"n$\xdd|\x87H}#\xa1\xf6\x04 \x92\xa0\xbb\x9c" +
-	"iKB\x9dsP\x91\x04=\xe3+\x1dK\xa8\xb6\x80" +
-	"\xe7\xb4\xf3p\x88\xbc\x0b>}.\xa1~\x15\xf0\xdc\xcb" +
-	"<\\\"\xefg>\xde\x96P\xbf\x0b\x8cW\xca\x1fh" +
-	"\x8c\x92\xc0(!n\xe8\xb5H\x9b\xa2&\xa2\xde^K" +
-	"\x1b\x1b\x96u\x03\xcf\x11\x16%0\xd1\x9f\x12\x817'" +
-	"u\xbdV,\xa5\x16\xc5Z\xb5^\xd1\xb6c\x01\x12\x00" +
-	"\xa1U\xd1\xfez\xd9\xac\xf6\xd6\x83\x933\xb5\xc8\x14u" +
-	"U\x1bK\x9d\xd99)\x91,\xdfiDB\xe5\xc5\xe0" +
-	"\x7f\x9e\xe0\xc9\xd3\x97:\x1c\xc09\xd7\xc5y(\xd0\xa3" +
-	"y\xc0\x86{\x12\xea\x98\xe7\x8e\x04\xe7\xd1\x12\x91:\xec" +
-	"\xe1\xc4m8\xd1\xc5\xc9\x96\xa7\x12\xea'\xc6)\x12\x9c" +
-	"\x97K}\x9cO\xd3J\xdfa\x97V\xb5\xb6\xae\x83\x94" +
-	"\x84_\xa9\xd4\x8a\xbe\xad\x11BdI ;\xc8\xb3\x15" +
-	"\x99\x92\xf6\xc3\xfe\x89\xc84\xb4\xb5\x15M\x08n\xe7\xc9" +
-	"\xdd\xd2\x0d\x9b<\x05\x1a@2\xdboXZ0n\xdd" +
-	"W\x12j\xe7\x06\x92o\xa7\xfb\xadK\x1b\xb6;\xdb\xad" +
-	"\xdd>#\x19J\x90|\xcf\xc7w\x12\xca\x9e\xeb$H" +
-	"\x0e\xb8v\xfb\x12\xeaT\xa0`\xb5\xf1\x8dE\x86\x042" +
-	"\xf4\xac7T\x08t\xd57Ao9nt\xff=\xc5" +
-	"\xa1\xb6Qht\xc0\xbd\xea\x0a\x1e\x07\x00\x00\xff\xff " +
-	"\x8a\x14\xb8"
+const schema_e4b1c09d7a3f5502 = "x\xda|\x94\xcfk+U\x14\xc7\xcf\xf7\xdc\x99\xd7\xd6" +
+	"\xd7\xd87$\x8b\xb7+\x82\xab\x82\xe2\x8f]Ab\x1f" +
+	">\x04Ey7\x0fy(\x0a\x1d'\xd762\xb9\x93" +
+	"Nn\xfaC(E\xff\x00\xdd\xb8\xd0b\xa1\xad\x15Z" +
+	"h\xa1\x95\x0a-\xb6\x90JE-*\xee\x05WJ\x15" +
+	"\x09\xe8\xd6\xcd\xc8\xcd$\x934\x85\xb7\x9b{\xf8\x9es" +
+	"\xcf\xe7{\xbf\xc9S-<\xef<\x9d\x1b\x17\xc4\xf2q" +
+	"\xf7Fr\xf9Q\xebb\xe4\x9f/WI\x8eB$\xfc" +
+	"Z\xf1\xbd\xb5\xe6\xc1\xef\xe4\x0c\x11\xe5\x1b\xf8&\xbf\x0c" +
+	"\xfb\xb5\x84KB\xf2\xd8\x7f\xf7_\x9c?\xfe\xees\xab" +
+	"\xc5\x80V\xf2E\xfe-\xb6_\xafs\x91\x90L\xbf\xfa" +
+	"B\xf0S\xeb\xf4k\xabuzZ7\x1d\xc7\x9b\xf9\xf7" +
+	"\xad\xf8\xd9e~\x00Br~\xfb\xfe_/?\xf2\xf3" +
+	"oV\xed\x0e\xaa\xff\x10\x17\xf9\x7f\x85U\xb7D[\xfd" +
+	"\xc1\xe2\xe6\xaf\x7f~\xf5\xe1\xdfV\xcd}\xea\xf6\xf5\xcf" +
+	"\xb9\xab\xf9\xbb\xaeUO\xb9\x0f@O$s\x8d\xc8\xf8" +
+	"O\x06>\xd7tmrJ\xd7\x17T|W\x9bx\x89" +
+	"\xee\x01\xf2\x96p\x88\x1c\x10y\xfe\x04\x91|S@\xce" +
+	"2<\xa0\x00[T\xcf\x10\xc9i\x01\x192<v\x0a" +
+	"`\"\xafr\x87H\x96\x05d\x8d\xe1\x09\xb7\x00A\xe4" +
+	"U\xdf%\x92\xa1\x80\\d\x8c\xc5\xbeQ\xb8I\x8c\x9b" +
+	"\x84\xf1\xb2\xaa\x99\xd9\xeeie&\xf6\xb5Qe\x0c\x13" +
+	"c\x98\x90\xc4\xca\xc4KS\xef\x18\x1aS\xf1+\xf5\xac" +
+	"<\xb0\xb4\x8e\x1a:PU\xa5\x0d\xb5\xd7v\xb2\xb5s" +
+	"v\xc3a\x01Y`\x8c\xabZ\x14\xccb\x84\x18#}" +
+	"3`g\x94\x94VC\x0b~h\xbbog\xdd\x9f\xbe" +
+	"A$?\x11\x90[}\xd0\x1b/\x11\xc9u\x01\xb9\xcb" +
+	"\x00\xa7\xcc;\x96yK@6-3\xa7\xcc\xa7\xf6\xee" +
+	"#\x01y\xce\xf0\x9cf\x01\x0e\x91wf\xbb\x9b\x02\xf2" +
+	"G\x86\xe7\x9e\x15\xe0\x12y?\xd8\xf6s\x01\xf9\x0b#" +
+	"\x99QZ\xc5\xbe\xa9\x90\x88t\xb6l]\xcd5\x94\x0e" +
+	"\x14\x11uk+J\x9b\xb8\xa2\xeax\x94pO\x00\xb7" +
+	"z1!\xd8\xe2\x00o\x10Uk\xa12\xed\x11 \x06" +
+	"\x08+\xa1\xf2\xe7+z\xa6{\xbe\xea\xab\xf5d\xc1\x0f" +
+	"\xd34\xd0\x803\x93D\xf2c\x01\xb9\xce\xe8\x1a\xb36" +
+	"\xd1\xe7\x16#uf\xc3\x9a\xf0\x99\x80\xdc\xees\xe6\x8b" +
+	"\xc9\x9e\x85\x9es#ufg\xa2\xe3\xe1\xbeu\xc6I" +
+	"\x9d\xd9\xb3v\xed\x0a\xc8#F\xd1(\xedk\x83Qb" +
+	"\x8c\xd2\xc3bT,\xab\xaa\xaf\xcb\xdd\xe3\x98VW#" +
+	"\xd5\x88\xb5*[\x1f:\x82\xabY\xb0?\x02\xa1\xe2\x01" +
+	"\xe0;\x1d\xe0\xfd\x1e\xf0\x9ee\xdb\x16\x90\x87}\xc0\x07" +
+	"%\"\xb9/ O,0R\xe0c\xab<\xec\xe4\xc3" +
+	"A\x0a|\xfa6\x91<\x11\x90\xdf[`N\x81\xbf-" +
+	"\xf5\xa2p\xfd\x85\xb3\xbf\xa3\xce\x0bW\xa3yU\xce^" +
+	"\xcf\x0f\xc3(\xf0MD\x88\x91#F\xeeZ\x06\xaa\x8d" +
+	"\xba)\xa9 \xa4!\xbfR\xcd\xfa\x1a\xba\xae\x8c\x09\x15" +
+	"!\x9b\xf5\x7f\x00\x00\x00\xff\xff${\x1dY"
 
 func RegisterSchema(reg *schemas.Registry) {
 	reg.Register(&schemas.Schema{
 		String: schema_e4b1c09d7a3f5502,
 		Nodes: []uint64{
 			0x9ab2f009caed8fe7,
-			0xa225796ecbecde85,
 			0xa3c7b9764753fa21,
+			0xbbbdedcd63444e60,
+			0xdece0a4be95318c4,
 			0xeb8eb5e8dba27882,
-			0xf7ff3b0ce32e3238,
 		},
 		Compressed: true,
 	})
--- a/internal/view/message_codec.go
+++ b/internal/view/message_codec.go
@@ -11,7 +11,7 @@
 func EncodePrepare(m Prepare) ([]byte, error) {
 	return capnpcodec.Marshal(0, viewwire.NewRootPrepare, func(root viewwire.Prepare) error {
 		root.SetEpoch(m.Epoch)
-		return writeNumber(root.NewBallot, m.Number)
+		return writeNumber(root.NewNumber, m.Number)
 	})
 }
 
@@ -21,7 +21,7 @@
 	if err != nil {
 		return Prepare{}, err
 	}
-	number, err := readNumber(root.Ballot())
+	number, err := readNumber(root.Number())
 	return Prepare{Epoch: root.Epoch(), Number: number}, err
 }
 
@@ -33,7 +33,7 @@
 		root.SetVotes(m.Votes)
 		root.SetComplete(m.Complete)
 		root.SetLeaving(m.Leaving)
-		if err := writeNumber(root.NewBallot, m.Number); err != nil {
+		if err := writeNumber(root.NewNumber, m.Number); err != nil {
 			return err
 		}
 		if err := writeNumber(root.NewPromised, m.Promised); err != nil {
@@ -67,7 +67,7 @@
 		Complete: root.Complete(),
 		Leaving:  root.Leaving(),
 	}
-	if m.Number, err = readNumber(root.Ballot()); err != nil {
+	if m.Number, err = readNumber(root.Number()); err != nil {
 		return Promise{}, err
 	}
 	if m.Promised, err = readNumber(root.Promised()); err != nil {
@@ -90,7 +90,7 @@
 func EncodeAccept(m Accept) ([]byte, error) {
 	return capnpcodec.Marshal(0, viewwire.NewRootAccept, func(root viewwire.Accept) error {
 		root.SetEpoch(m.Epoch)
-		return writeProposal(root.NewBallot, root.NewView, Proposal{Number: m.Number, View: m.View})
+		return writeProposal(root.NewNumber, root.NewView, Proposal{Number: m.Number, View: m.View})
 	})
 }
 
@@ -100,7 +100,7 @@
 	if err != nil {
 		return Accept{}, err
 	}
-	proposal, err := readProposal(root.Ballot, root.View)
+	proposal, err := readProposal(root.Number, root.View)
 	if err != nil {
 		return Accept{}, err
 	}
@@ -112,7 +112,7 @@
 	return capnpcodec.Marshal(0, viewwire.NewRootAccepted, func(root viewwire.Accepted) error {
 		root.SetEpoch(m.Epoch)
 		root.SetGranted(m.Granted)
-		if err := writeNumber(root.NewBallot, m.Number); err != nil {
+		if err := writeNumber(root.NewNumber, m.Number); err != nil {
 			return err
 		}
 		return writeNumber(root.NewPromised, m.Promised)
@@ -126,7 +126,7 @@
 		return Accepted{}, err
 	}
 	m := Accepted{Epoch: root.Epoch(), Granted: root.Granted()}
-	if m.Number, err = readNumber(root.Ballot()); err != nil {
+	if m.Number, err = readNumber(root.Number()); err != nil {
 		return Accepted{}, err
 	}
 	m.Promised, err = readNumber(root.Promised())
@@ -206,7 +206,7 @@
 	return seeds, nil
 }
 
-func writeNumber(allocate func() (viewwire.Ballot, error), number ProposalNumber) error {
+func writeNumber(allocate func() (viewwire.ProposalNumber, error), number ProposalNumber) error {
 	target, err := allocate()
 	if err != nil {
 		return err
@@ -216,14 +216,14 @@
 	return nil
 }
 
-func readNumber(source viewwire.Ballot, err error) (ProposalNumber, error) {
+func readNumber(source viewwire.ProposalNumber, err error) (ProposalNumber, error) {
 	if err != nil {
 		return ProposalNumber{}, err
 	}
 	return ProposalNumber{Round: source.Round(), Replica: ReplicaID(source.Replica())}, nil
 }
 
-func writeProposal(newNumber func() (viewwire.Ballot, error), newView func() (viewwire.View, error), proposal Proposal) error {
+func writeProposal(newNumber func() (viewwire.ProposalNumber, error), newView func() (viewwire.View, error), proposal Proposal) error {
 	if err := writeNumber(newNumber, proposal.Number); err != nil {
 		return err
 	}
@@ -234,7 +234,7 @@
 	return writeView(target, proposal.View)
 }
 
-func readProposal(numberOf func() (viewwire.Ballot, error), viewOf func() (viewwire.View, error)) (*Proposal, error) {
+func readProposal(numberOf func() (viewwire.ProposalNumber, error), viewOf func() (viewwire.View, error)) (*Proposal, error) {
 	number, err := readNumber(numberOf())
 	if err != nil {
 		return nil, err
--- a/internal/view/viewwire/view.capnp
+++ b/internal/view/viewwire/view.capnp
@@ -18,22 +18,22 @@
   voters @3 :List(Member);
 }
 
-struct Ballot {
+struct ProposalNumber {
   round @0 :UInt64;
   replica @1 :UInt64;
 }
 
 struct Prepare {
   epoch @0 :UInt64;
-  ballot @1 :Ballot;
+  number @1 :ProposalNumber;
 }
 
 struct Promise {
   epoch @0 :UInt64;
-  ballot @1 :Ballot;
+  number @1 :ProposalNumber;
   granted @2 :Bool;
-  promised @3 :Ballot;
-  accepted @4 :Ballot;
+  promised @3 :ProposalNumber;
+  accepted @4 :ProposalNumber;
   anyAccepted @5 :Bool;
   acceptedView @6 :View;
   complete @7 :Bool;
@@ -44,21 +44,21 @@
 
 struct Accept {
   epoch @0 :UInt64;
-  ballot @1 :Ballot;
+  number @1 :ProposalNumber;
   view @2 :View;
 }
 
 struct Accepted {
   epoch @0 :UInt64;
-  ballot @1 :Ballot;
+  number @1 :ProposalNumber;
   granted @2 :Bool;
-  promised @3 :Ballot;
+  promised @3 :ProposalNumber;
 }
 
 struct AcceptorRecord {
   epoch @0 :UInt64;
-  promised @1 :Ballot;
-  accepted @2 :Ballot;
+  promised @1 :ProposalNumber;
+  accepted @2 :ProposalNumber;
   anyAccepted @3 :Bool;
   acceptedView @4 :View;
   seeds @5 :List(Text);
--- a/internal/view/viewwire/view.capnp.go
+++ b/internal/view/viewwire/view.capnp.go
@@ -269,84 +269,84 @@
 	return View(p.Struct()), err
 }
 
-type Ballot capnp.Struct
+type ProposalNumber capnp.Struct
 
-// Ballot_TypeID is the unique identifier for the type Ballot.
-const Ballot_TypeID = 0xfccd5f521b823268
+// ProposalNumber_TypeID is the unique identifier for the type ProposalNumber.
+const ProposalNumber_TypeID = 0xd2448a81170212a9
 
-func NewBallot(s *capnp.Segment) (Ballot, error) {
+func NewProposalNumber(s *capnp.Segment) (ProposalNumber, error) {
 	st, err := capnp.NewStruct(s, capnp.ObjectSize{DataSize: 16, PointerCount: 0})
-	return Ballot(st), err
+	return ProposalNumber(st), err
 }
 
-func NewRootBallot(s *capnp.Segment) (Ballot, error) {
+func NewRootProposalNumber(s *capnp.Segment) (ProposalNumber, error) {
 	st, err := capnp.NewRootStruct(s, capnp.ObjectSize{DataSize: 16, PointerCount: 0})
-	return Ballot(st), err
+	return ProposalNumber(st), err
 }
 
-func ReadRootBallot(msg *capnp.Message) (Ballot, error) {
+func ReadRootProposalNumber(msg *capnp.Message) (ProposalNumber, error) {
 	root, err := msg.Root()
-	return Ballot(root.Struct()), err
+	return ProposalNumber(root.Struct()), err
 }
 
-func (s Ballot) String() string {
-	str, _ := text.Marshal(0xfccd5f521b823268, capnp.Struct(s))
+func (s ProposalNumber) String() string {
+	str, _ := text.Marshal(0xd2448a81170212a9, capnp.Struct(s))
 	return str
 }
 
-func (s Ballot) EncodeAsPtr(seg *capnp.Segment) capnp.Ptr {
+func (s ProposalNumber) EncodeAsPtr(seg *capnp.Segment) capnp.Ptr {
 	return capnp.Struct(s).EncodeAsPtr(seg)
 }
 
-func (Ballot) DecodeFromPtr(p capnp.Ptr) Ballot {
-	return Ballot(capnp.Struct{}.DecodeFromPtr(p))
+func (ProposalNumber) DecodeFromPtr(p capnp.Ptr) ProposalNumber {
+	return ProposalNumber(capnp.Struct{}.DecodeFromPtr(p))
 }
 
-func (s Ballot) ToPtr() capnp.Ptr {
+func (s ProposalNumber) ToPtr() capnp.Ptr {
 	return capnp.Struct(s).ToPtr()
 }
-func (s Ballot) IsValid() bool {
+func (s ProposalNumber) IsValid() bool {
 	return capnp.Struct(s).IsValid()
 }
 
-func (s Ballot) Message() *capnp.Message {
+func (s ProposalNumber) Message() *capnp.Message {
 	return capnp.Struct(s).Message()
 }
 
-func (s Ballot) Segment() *capnp.Segment {
+func (s ProposalNumber) Segment() *capnp.Segment {
 	return capnp.Struct(s).Segment()
 }
-func (s Ballot) Round() uint64 {
+func (s ProposalNumber) Round() uint64 {
 	return capnp.Struct(s).Uint64(0)
 }
 
-func (s Ballot) SetRound(v uint64) {
+func (s ProposalNumber) SetRound(v uint64) {
 	capnp.Struct(s).SetUint64(0, v)
 }
 
-func (s Ballot) Replica() uint64 {
+func (s ProposalNumber) Replica() uint64 {
 	return capnp.Struct(s).Uint64(8)
 }
 
-func (s Ballot) SetReplica(v uint64) {
+func (s ProposalNumber) SetReplica(v uint64) {
 	capnp.Struct(s).SetUint64(8, v)
 }
 
-// Ballot_List is a list of Ballot.
-type Ballot_List = capnp.StructList[Ballot]
+// ProposalNumber_List is a list of ProposalNumber.
+type ProposalNumber_List = capnp.StructList[ProposalNumber]
 
-// NewBallot creates a new list of Ballot.
-func NewBallot_List(s *capnp.Segment, sz int32) (Ballot_List, error) {
+// NewProposalNumber creates a new list of ProposalNumber.
+func NewProposalNumber_List(s *capnp.Segment, sz int32) (ProposalNumber_List, error) {
 	l, err := capnp.NewCompositeList(s, capnp.ObjectSize{DataSize: 16, PointerCount: 0}, sz)
-	return capnp.StructList[Ballot](l), err
+	return capnp.StructList[ProposalNumber](l), err
 }
 
-// Ballot_Future is a wrapper for a Ballot promised by a client call.
-type Ballot_Future struct{ *capnp.Future }
+// ProposalNumber_Future is a wrapper for a ProposalNumber promised by a client call.
+type ProposalNumber_Future struct{ *capnp.Future }
 
-func (f Ballot_Future) Struct() (Ballot, error) {
+func (f ProposalNumber_Future) Struct() (ProposalNumber, error) {
 	p, err := f.Future.Ptr()
-	return Ballot(p.Struct()), err
+	return ProposalNumber(p.Struct()), err
 }
 
 type Prepare capnp.Struct
@@ -404,25 +404,25 @@
 	capnp.Struct(s).SetUint64(0, v)
 }
 
-func (s Prepare) Ballot() (Ballot, error) {
+func (s Prepare) Number() (ProposalNumber, error) {
 	p, err := capnp.Struct(s).Ptr(0)
-	return Ballot(p.Struct()), err
+	return ProposalNumber(p.Struct()), err
 }
 
-func (s Prepare) HasBallot() bool {
+func (s Prepare) HasNumber() bool {
 	return capnp.Struct(s).HasPtr(0)
 }
 
-func (s Prepare) SetBallot(v Ballot) error {
+func (s Prepare) SetNumber(v ProposalNumber) error {
 	return capnp.Struct(s).SetPtr(0, capnp.Struct(v).ToPtr())
 }
 
-// NewBallot sets the ballot field to a newly
-// allocated Ballot struct, preferring placement in s's segment.
-func (s Prepare) NewBallot() (Ballot, error) {
-	ss, err := NewBallot(capnp.Struct(s).Segment())
+// NewNumber sets the number field to a newly
+// allocated ProposalNumber struct, preferring placement in s's segment.
+func (s Prepare) NewNumber() (ProposalNumber, error) {
+	ss, err := NewProposalNumber(capnp.Struct(s).Segment())
 	if err != nil {
-		return Ballot{}, err
+		return ProposalNumber{}, err
 	}
 	err = capnp.Struct(s).SetPtr(0, capnp.Struct(ss).ToPtr())
 	return ss, err
@@ -444,8 +444,8 @@
 	p, err := f.Future.Ptr()
 	return Prepare(p.Struct()), err
 }
-func (p Prepare_Future) Ballot() Ballot_Future {
-	return Ballot_Future{Future: p.Future.Field(0, nil)}
+func (p Prepare_Future) Number() ProposalNumber_Future {
+	return ProposalNumber_Future{Future: p.Future.Field(0, nil)}
 }
 
 type Promise capnp.Struct
@@ -503,25 +503,25 @@
 	capnp.Struct(s).SetUint64(0, v)
 }
 
-func (s Promise) Ballot() (Ballot, error) {
+func (s Promise) Number() (ProposalNumber, error) {
 	p, err := capnp.Struct(s).Ptr(0)
-	return Ballot(p.Struct()), err
+	return ProposalNumber(p.Struct()), err
 }
 
-func (s Promise) HasBallot() bool {
+func (s Promise) HasNumber() bool {
 	return capnp.Struct(s).HasPtr(0)
 }
 
-func (s Promise) SetBallot(v Ballot) error {
+func (s Promise) SetNumber(v ProposalNumber) error {
 	return capnp.Struct(s).SetPtr(0, capnp.Struct(v).ToPtr())
 }
 
-// NewBallot sets the ballot field to a newly
-// allocated Ballot struct, preferring placement in s's segment.
-func (s Promise) NewBallot() (Ballot, error) {
-	ss, err := NewBallot(capnp.Struct(s).Segment())
+// NewNumber sets the number field to a newly
+// allocated ProposalNumber struct, preferring placement in s's segment.
+func (s Promise) NewNumber() (ProposalNumber, error) {
+	ss, err := NewProposalNumber(capnp.Struct(s).Segment())
 	if err != nil {
-		return Ballot{}, err
+		return ProposalNumber{}, err
 	}
 	err = capnp.Struct(s).SetPtr(0, capnp.Struct(ss).ToPtr())
 	return ss, err
@@ -535,49 +535,49 @@
 	capnp.Struct(s).SetBit(64, v)
 }
 
-func (s Promise) Promised() (Ballot, error) {
+func (s Promise) Promised() (ProposalNumber, error) {
 	p, err := capnp.Struct(s).Ptr(1)
-	return Ballot(p.Struct()), err
+	return ProposalNumber(p.Struct()), err
 }
 
 func (s Promise) HasPromised() bool {
 	return capnp.Struct(s).HasPtr(1)
 }
 
-func (s Promise) SetPromised(v Ballot) error {
+func (s Promise) SetPromised(v ProposalNumber) error {
 	return capnp.Struct(s).SetPtr(1, capnp.Struct(v).ToPtr())
 }
 
 // NewPromised sets the promised field to a newly
-// allocated Ballot struct, preferring placement in s's segment.
-func (s Promise) NewPromised() (Ballot, error) {
-	ss, err := NewBallot(capnp.Struct(s).Segment())
+// allocated ProposalNumber struct, preferring placement in s's segment.
+func (s Promise) NewPromised() (ProposalNumber, error) {
+	ss, err := NewProposalNumber(capnp.Struct(s).Segment())
 	if err != nil {
-		return Ballot{}, err
+		return ProposalNumber{}, err
 	}
 	err = capnp.Struct(s).SetPtr(1, capnp.Struct(ss).ToPtr())
 	return ss, err
 }
 
-func (s Promise) Accepted() (Ballot, error) {
+func (s Promise) Accepted() (ProposalNumber, error) {
 	p, err := capnp.Struct(s).Ptr(2)
-	return Ballot(p.Struct()), err
+	return ProposalNumber(p.Struct()), err
 }
 
 func (s Promise) HasAccepted() bool {
 	return capnp.Struct(s).HasPtr(2)
 }
 
-func (s Promise) SetAccepted(v Ballot) error {
+func (s Promise) SetAccepted(v ProposalNumber) error {
 	return capnp.Struct(s).SetPtr(2, capnp.Struct(v).ToPtr())
 }
 
 // NewAccepted sets the accepted field to a newly
-// allocated Ballot struct, preferring placement in s's segment.
-func (s Promise) NewAccepted() (Ballot, error) {
-	ss, err := NewBallot(capnp.Struct(s).Segment())
+// allocated ProposalNumber struct, preferring placement in s's segment.
+func (s Promise) NewAccepted() (ProposalNumber, error) {
+	ss, err := NewProposalNumber(capnp.Struct(s).Segment())
 	if err != nil {
-		return Ballot{}, err
+		return ProposalNumber{}, err
 	}
 	err = capnp.Struct(s).SetPtr(2, capnp.Struct(ss).ToPtr())
 	return ss, err
@@ -679,14 +679,14 @@
 	p, err := f.Future.Ptr()
 	return Promise(p.Struct()), err
 }
-func (p Promise_Future) Ballot() Ballot_Future {
-	return Ballot_Future{Future: p.Future.Field(0, nil)}
+func (p Promise_Future) Number() ProposalNumber_Future {
+	return ProposalNumber_Future{Future: p.Future.Field(0, nil)}
 }
-func (p Promise_Future) Promised() Ballot_Future {
-	return Ballot_Future{Future: p.Future.Field(1, nil)}
+func (p Promise_Future) Promised() ProposalNumber_Future {
+	return ProposalNumber_Future{Future: p.Future.Field(1, nil)}
 }
-func (p Promise_Future) Accepted() Ballot_Future {
-	return Ballot_Future{Future: p.Future.Field(2, nil)}
+func (p Promise_Future) Accepted() ProposalNumber_Future {
+	return ProposalNumber_Future{Future: p.Future.Field(2, nil)}
 }
 func (p Promise_Future) AcceptedView() View_Future {
 	return View_Future{Future: p.Future.Field(3, nil)}
@@ -750,25 +750,25 @@
 	capnp.Struct(s).SetUint64(0, v)
 }
 
-func (s Accept) Ballot() (Ballot, error) {
+func (s Accept) Number() (ProposalNumber, error) {
 	p, err := capnp.Struct(s).Ptr(0)
-	return Ballot(p.Struct()), err
+	return ProposalNumber(p.Struct()), err
 }
 
-func (s Accept) HasBallot() bool {
+func (s Accept) HasNumber() bool {
 	return capnp.Struct(s).HasPtr(0)
 }
 
-func (s Accept) SetBallot(v Ballot) error {
+func (s Accept) SetNumber(v ProposalNumber) error {
 	return capnp.Struct(s).SetPtr(0, capnp.Struct(v).ToPtr())
 }
 
-// NewBallot sets the ballot field to a newly
-// allocated Ballot struct, preferring placement in s's segment.
-func (s Accept) NewBallot() (Ballot, error) {
-	ss, err := NewBallot(capnp.Struct(s).Segment())
+// NewNumber sets the number field to a newly
+// allocated ProposalNumber struct, preferring placement in s's segment.
+func (s Accept) NewNumber() (ProposalNumber, error) {
+	ss, err := NewProposalNumber(capnp.Struct(s).Segment())
 	if err != nil {
-		return Ballot{}, err
+		return ProposalNumber{}, err
 	}
 	err = capnp.Struct(s).SetPtr(0, capnp.Struct(ss).ToPtr())
 	return ss, err
@@ -814,8 +814,8 @@
 	p, err := f.Future.Ptr()
 	return Accept(p.Struct()), err
 }
-func (p Accept_Future) Ballot() Ballot_Future {
-	return Ballot_Future{Future: p.Future.Field(0, nil)}
+func (p Accept_Future) Number() ProposalNumber_Future {
+	return ProposalNumber_Future{Future: p.Future.Field(0, nil)}
 }
 func (p Accept_Future) View() View_Future {
 	return View_Future{Future: p.Future.Field(1, nil)}
@@ -876,25 +876,25 @@
 	capnp.Struct(s).SetUint64(0, v)
 }
 
-func (s Accepted) Ballot() (Ballot, error) {
+func (s Accepted) Number() (ProposalNumber, error) {
 	p, err := capnp.Struct(s).Ptr(0)
-	return Ballot(p.Struct()), err
+	return ProposalNumber(p.Struct()), err
 }
 
-func (s Accepted) HasBallot() bool {
+func (s Accepted) HasNumber() bool {
 	return capnp.Struct(s).HasPtr(0)
 }
 
-func (s Accepted) SetBallot(v Ballot) error {
+func (s Accepted) SetNumber(v ProposalNumber) error {
 	return capnp.Struct(s).SetPtr(0, capnp.Struct(v).ToPtr())
 }
 
-// NewBallot sets the ballot field to a newly
-// allocated Ballot struct, preferring placement in s's segment.
-func (s Accepted) NewBallot() (Ballot, error) {
-	ss, err := NewBallot(capnp.Struct(s).Segment())
+// NewNumber sets the number field to a newly
+// allocated ProposalNumber struct, preferring placement in s's segment.
+func (s Accepted) NewNumber() (ProposalNumber, error) {
+	ss, err := NewProposalNumber(capnp.Struct(s).Segment())
 	if err != nil {
-		return Ballot{}, err
+		return ProposalNumber{}, err
 	}
 	err = capnp.Struct(s).SetPtr(0, capnp.Struct(ss).ToPtr())
 	return ss, err
@@ -908,25 +908,25 @@
 	capnp.Struct(s).SetBit(64, v)
 }
 
-func (s Accepted) Promised() (Ballot, error) {
+func (s Accepted) Promised() (ProposalNumber, error) {
 	p, err := capnp.Struct(s).Ptr(1)
-	return Ballot(p.Struct()), err
+	return ProposalNumber(p.Struct()), err
 }
 
 func (s Accepted) HasPromised() bool {
 	return capnp.Struct(s).HasPtr(1)
 }
 
-func (s Accepted) SetPromised(v Ballot) error {
+func (s Accepted) SetPromised(v ProposalNumber) error {
 	return capnp.Struct(s).SetPtr(1, capnp.Struct(v).ToPtr())
 }
 
 // NewPromised sets the promised field to a newly
-// allocated Ballot struct, preferring placement in s's segment.
-func (s Accepted) NewPromised() (Ballot, error) {
-	ss, err := NewBallot(capnp.Struct(s).Segment())
+// allocated ProposalNumber struct, preferring placement in s's segment.
+func (s Accepted) NewPromised() (ProposalNumber, error) {
+	ss, err := NewProposalNumber(capnp.Struct(s).Segment())
 	if err != nil {
-		return Ballot{}, err
+		return ProposalNumber{}, err
 	}
 	err = capnp.Struct(s).SetPtr(1, capnp.Struct(ss).ToPtr())
 	return ss, err
@@ -948,11 +948,11 @@
 	p, err := f.Future.Ptr()
 	return Accepted(p.Struct()), err
 }
-func (p Accepted_Future) Ballot() Ballot_Future {
-	return Ballot_Future{Future: p.Future.Field(0, nil)}
+func (p Accepted_Future) Number() ProposalNumber_Future {
+	return ProposalNumber_Future{Future: p.Future.Field(0, nil)}
 }
-func (p Accepted_Future) Promised() Ballot_Future {
-	return Ballot_Future{Future: p.Future.Field(1, nil)}
+func (p Accepted_Future) Promised() ProposalNumber_Future {
+	return ProposalNumber_Future{Future: p.Future.Field(1, nil)}
 }
 
 type AcceptorRecord capnp.Struct
@@ -1010,49 +1010,49 @@
 	capnp.Struct(s).SetUint64(0, v)
 }
 
-func (s AcceptorRecord) Promised() (Ballot, error) {
+func (s AcceptorRecord) Promised() (ProposalNumber, error) {
 	p, err := capnp.Struct(s).Ptr(0)
-	return Ballot(p.Struct()), err
+	return ProposalNumber(p.Struct()), err
 }
 
 func (s AcceptorRecord) HasPromised() bool {
 	return capnp.Struct(s).HasPtr(0)
 }
 
-func (s AcceptorRecord) SetPromised(v Ballot) error {
+func (s AcceptorRecord) SetPromised(v ProposalNumber) error {
 	return capnp.Struct(s).SetPtr(0, capnp.Struct(v).ToPtr())
 }
 
 // NewPromised sets the promised field to a newly
-// allocated Ballot struct, preferring placement in s's segment.
-func (s AcceptorRecord) NewPromised() (Ballot, error) {
-	ss, err := NewBallot(capnp.Struct(s).Segment())
+// allocated ProposalNumber struct, preferring placement in s's segment.
+func (s AcceptorRecord) NewPromised() (ProposalNumber, error) {
+	ss, err := NewProposalNumber(capnp.Struct(s).Segment())
 	if err != nil {
-		return Ballot{}, err
+		return ProposalNumber{}, err
 	}
 	err = capnp.Struct(s).SetPtr(0, capnp.Struct(ss).ToPtr())
 	return ss, err
 }
 
-func (s AcceptorRecord) Accepted() (Ballot, error) {
+func (s AcceptorRecord) Accepted() (ProposalNumber, error) {
 	p, err := capnp.Struct(s).Ptr(1)
-	return Ballot(p.Struct()), err
+	return ProposalNumber(p.Struct()), err
 }
 
 func (s AcceptorRecord) HasAccepted() bool {
 	return capnp.Struct(s).HasPtr(1)
 }
 
-func (s AcceptorRecord) SetAccepted(v Ballot) error {
+func (s AcceptorRecord) SetAccepted(v ProposalNumber) error {
 	return capnp.Struct(s).SetPtr(1, capnp.Struct(v).ToPtr())
 }
 
 // NewAccepted sets the accepted field to a newly
-// allocated Ballot struct, preferring placement in s's segment.
-func (s AcceptorRecord) NewAccepted() (Ballot, error) {
-	ss, err := NewBallot(capnp.Struct(s).Segment())
+// allocated ProposalNumber struct, preferring placement in s's segment.
+func (s AcceptorRecord) NewAccepted() (ProposalNumber, error) {
+	ss, err := NewProposalNumber(capnp.Struct(s).Segment())
 	if err != nil {
-		return Ballot{}, err
+		return ProposalNumber{}, err
 	}
 	err = capnp.Struct(s).SetPtr(1, capnp.Struct(ss).ToPtr())
 	return ss, err
@@ -1130,80 +1130,80 @@
 	p, err := f.Future.Ptr()
 	return AcceptorRecord(p.Struct()), err
 }
-func (p AcceptorRecord_Future) Promised() Ballot_Future {
-	return Ballot_Future{Future: p.Future.Field(0, nil)}
+func (p AcceptorRecord_Future) Promised() ProposalNumber_Future {
+	return ProposalNumber_Future{Future: p.Future.Field(0, nil)}
 }
-func (p AcceptorRecord_Future) Accepted() Ballot_Future {
-	return Ballot_Future{Future: p.Future.Field(1, nil)}
+func (p AcceptorRecord_Future) Accepted() ProposalNumber_Future {
+	return ProposalNumber_Future{Future: p.Future.Field(1, nil)}
 }
 func (p AcceptorRecord_Future) AcceptedView() View_Future {
 	return View_Future{Future: p.Future.Field(2, nil)}
 }
 
-const schema_d36c91a7e4b20f55 = "x\xda\xbcU_h\x1c\xd5\x1b\xfd\xce\xbd\xb3\x9bL\x7f" +
-	"\xc9o3\xdcy\x10|\x88\x0f\x11\x1bi$\x89}\xb0" +
-	"A\xc9\x1f#\xb4\xa5\x95\xdcn\xac\x0a\x11;\xd9\xbd4" +
-	"\x1bvw\xd6\xd9m\xd2JKji\xa1b\x0b6\xe4" +
-	"\xc5\xa2 \xb6\xd2\xe0\x1f\x14\xff`\x10\x94\x80\xf4M\x11" +
-	"\xd4\x87\"T\x10\x14\x1f\x04ED\xb0h\x1d\xf9f\xbb" +
-	"3\xdbi*}\xd1\xb7\x993\xe7\xde\xef\x9c\xef~\xf7" +
-	"\xcc\xe0\xafb\xcc\x1a\xea\xbe\xcb\"\xa1\x073\xd9\xf0\x83" +
-	"\x9f.\x85_\x87\xd3\xe7H\xff\x0f\"|$\xf7\xcew" +
-	"\x17\xce\x94\xbf\xa4\x8c\xec RW\xb0\xac :\x88\xee" +
-	"\xbd\x8a^\x10\xc2\x07\xea?\xf6^z\xfd\xb5\xd54\x9b" +
-	"9\xaa[\x1eS\x8el>\xfd@\x08\xfb\xce\x9f\xfa0" +
-	"7\xf4\xdc\xc7LF\x1b\x19L\x81uV\xd9\x16?e" +
-	"\xacEB\xd8\xbd\xfe\xf0\xe9\xcb\xbf\xcd_L\x93\xa3\x9d" +
-	"=kY\x95\"\xb2\xb1\xde\"\x84\x9f\xac_\xb9\xf0\xee" +
-	"\xa7g.\xa6eD\x94\xab\xd6\x17\xca\xce\xb0\xe8L\xe6" +
-	"Q\x10~\xee^[=\xd1\x7f\xee\x97\x14\x97\x19\xea\xa9" +
-	"\xecYu(\xcb\xdc\x03Y_\x10\xc2o\x0e\xff\xb5\xad" +
-	"\xf0\xf9\xef\x7flh\x10\xf6+\xca\xb6#\xcd6\x1b\x9c" +
-	"\x1b>v\xfb\x9e'?\xfb3E\x8eT\\\xb6\x97\xd5" +
-	"\xf7\x11\xf7[{\x91\x06\xc2\x85\x92Y\xbc\xa7\xe0\xd5P" +
-	"\xad\x8d\xec6\x95Y\x83`\x0a\xd0\xae\xb4\x88,\x109" +
-	"G&\x88\xf4A\x09}\\\x00p\xc1\xd83w\x13\xe9" +
-	"\xc3\x12\xfa\xa4\x80#\xe0B\x109'\x18<*\xa1O" +
-	"\x098R\xb8\x90D\xce\xb3\xbc\xfa\xb8\x84~^\xc0\xb1" +
-	"\xe0\xc2\"rN\x8f\x10\xe9\x93\x12zE`)0\xb5" +
-	"r\xa9\xe0\xc1&\x01\x9b\x90\xabz\x15\x83.\x12\xe8\"" +
-	"\xe4\x9e\xf6\xab\xf1\xcb\x92W,\x06\xa6^o\xbd\x8f\xce" +
-	"\xfb\xa5\xaa)\xb6\x16^\xe7do\xc9,\x12\xfb\xe8\x89" +
-	"}x\xc3DzFB\xcf\x098-#\x86\xc1}\x12" +
-	"\xba,\x00\xd1\xf4Qb\xc9E\x09}\x94}\xa0\xe9\xe3" +
-	"\xc8\xc8\xb5.\xac\x08\xf4\x16\xe6\xbcR\x15\x9d$\xd0I" +
-	"\xe855\xbf0\xd7R\xb1T\xe1\x1e\x06u\xfc\x9f0" +
-	"%\x81\x9ed\x90\x09\x0c\x8e.\xf8\x8d\x7f\xfa~\x9d\x8d" +
-	"\xa9\xc0\xd4<\x19\x18v\xd2\x19;\xe9g\xd1}\x12z" +
-	"09\x91\x01\xd6\xb7YBo\x15)E\xa3\xb3^\xb9" +
-	"\xec7\xd0\x93\x8c\x05\x01=\xa9J\xe3\x85\x82\xa9\xa1\xc1" +
-	"\x85\xba\xe2B\x0fq\xa11\x09\xbd+)\xb4\x83\x0bM" +
-	"J\xe8\xa9\xb6\xa3\xdf\xcdG\xbf]BO\xdfr\xf5\x1c" +
-	"WGOrsS\xa2DKT\xc3\x0f\xf6\x98\x82\x1f" +
-	"\xa0\xc8\xe2n\x8b\xc5\xbd\xc0\xe2V$\xf4\xcb\x89\xb8\x97" +
-	"v\x12\xe9\x17%\xf4j\x9b\xb8W\x19</\xa1\xdf\xe6" +
-	"\xf3\x1ck\x9e\xe7\x9b\xb3D\xfa\x0d\x09\xbd\xc6s)\x9a" +
-	"s\xf9\xfe<\x91~OB\xaf\x0b8\x19\xe9\"C\xe4" +
-	"|\xc4u\xd6$\xf4Wioa-\xf0+\xa5\xba)" +
-	"\x12\xd1\x06\xed\xf5\"\xf57\xfdZ=\x14\xd9\xa3\x8e\x86" +
-	")\x02$\x80\xf65\xb9\xbd\x1b\xb6\xa7\xb7nL1\x1e" +
-	"\x1e\xbe\x087\x8e\x8c_)\xc9z42[Z\xcdR" +
-	"wb\x98(\x7f\x07$\xf2[\x10\xf7K\xf5c\x84(" +
-	"\xdf\xc7\xf0 \xb8ecQ\xcb\xd4\x00&\x88\xf2\x9b\x19" +
-	"\xdf\x8a\xe4\x16\xa8!\xec$\xca\x0f2~?\x92\xc6\xa9" +
-	"m\x11~\x1f\xe3\x93\x8cg\xc6\xa3\xde\xa9q\xcc\x12\xe5" +
-	"\xc7\x18\xdf\xc5xV\xba\xc8\x12\xa9\x1d\x98'\xcaog" +
-	"|\x9a\xf1\x8e\x097\x0a_\x1d\xed3\xc5\xf8\x0c\xe3\x9d" +
-	"\x96\x8bN\"\xf5x\xa4s\x9a\xf1}\x8c\xdb\x0f\xba\xb0" +
-	"\x89\xd4\x13\x91\xad\xc7\x18/2\xbei\xd2\xc5&\xce\xe5" +
-	"H\xff\x0c\xe3s\xb8\xe5\x91\\\xda\x1fx\xd5\xf6\xd3\xf8" +
-	"\xef\xcf7,\xf8\x95Z\xd94\x0cozm\xd1h\xdd" +
-	"T\x8b&HE\x05\x0f\x03GI\xbdE[*\x1bo" +
-	"\xa1T\xdd\x1f\xd7\xba\xe1z\xb3\x92\x9bgb\x1c\x89#" +
-	"I$\xb6\x06\"\xc9\xc4Z[&V\xf8b\x95%\xf4" +
-	"\xc1\x7f\xab\xc5\xed\x16&x\xcbfBm\x1c\x85q\xa8" +
-	"\x0fL\xb4ea\xe0\x1f\xa8\xc6\xff\x88\xf4\xcf\xe6\xef\x00" +
-	"\x00\x00\xff\xff\xec\xaf\xdd\xbb"
+const schema_d36c91a7e4b20f55 = "x\xda\xbcU]h\x1cU\x14>\xdf\xbd\xb3\x9blm" +
+	"\xba\x19\xef\x80\xbe\xc5\x87\x88\x8d4\x92\xb4}\xb0A\xc9" +
+	"\x8f\x11\xda\xd2\x96\xbdn\xac\x0a\x11:\xd9\xbd4\x13v" +
+	"g\xd6\xd9\xfc\xb4\xd2\x90VZ\xa8\xda\x82-y\xb1(" +
+	"\x88\xad4\xfe\xa1\xf8\x83AP\x02\xd27A\x88\x0aU" +
+	"\xa8OB\x1f\x04EP\xb0H\x1d9\x93\xee\xecvL" +
+	"\xa5/\xfav\xf7\x9bs\xef\xf9\xbes\xbes\xb6\xef7" +
+	"1d\xf5w\xdcg\x91\xd0}\x99l\xf4\xc9\xcf\x97\xa3" +
+	"\xef\xa3\xb1\xf3\xa4\xef\x80\x88\x1e\xcf\x7f\xf0\xe3\xc53\x95" +
+	"\xaf)#\xdb\x88\xd45\x9cU\x10mD\xdb\xae\xa3\x0b" +
+	"\x84\xe8\xe1\xfaO]\x97\xdf~k)\x1d\xcd1\xaaC" +
+	">\xa7l\xb9v\xbaJ\x88\xba/\x9c\xfa4\xdf\xff\xe2" +
+	"\xe7\x1c\x8c\x96`p\x08\xacs*g\xf1)c\xcd\x11" +
+	"\xa2\x8e\x95}\xa7\xaf\xfc>u)\x1d\x1c\xbf\xecZg" +
+	"\x95\x17\x07\x1b\xeb=B\xf4\xc5\xca\xb5\x8b\x1f~y\xe6" +
+	"R\x9aF\x1cr\xddZU\xb9\x0c\x93\xced\x9e`\xd2" +
+	"o\xde)\xee:\xf6\xc2\xe8j*:\x0e~&\xbb\xaa" +
+	"\xe6\xb3|:\x9c\x9d#\xfc\xd2\xb1\xbct\xa2\xe7\xfc\xaf" +
+	"\xa9w\xf95\xf5m\xf6\x9c\xba\xc2\xa1\xdb\xbe\xcb\x06\x82" +
+	"\x10\xfdp\xe4\xaf\x1d\xa5\xaf\xfe\xf8s\xddb\x98\xdc\xeb" +
+	"\xaa\x9a\xe3\x93\x97\xbbJ\xbd\xd1\xacg\xe6\x1e(\xb95" +
+	"\xf8\xb5\x81\xbd\xa6:a\x10\x16\x00\xedH\x8b\xc8\x02\x91" +
+	"=?B\xa4\x0fI\xe8\xe3\x02\x80\x03\xc6\x8e\xddO\xa4" +
+	"\x8fH\xe8\x93\x02\xb6\x80\x03Ad\x9f`\xf0\xa8\x84>" +
+	"%`K\xe1@\x12\xd9\xcf\xf3\xed\xe3\x12\xfa%\x01\xdb" +
+	"\x82\x03\x8b\xc8>=@\xa4OJ\xe8E\x81\x85\xd0\xd4" +
+	"*^\xc9E\x8e\x04r\x84\xbc\xefV\x0d6\x92\xc0F" +
+	"B\xfe\xd9\xc0O~,\xb8\xe5rh\xea\xf5\xc6\xef\xc1" +
+	"\xa9\xc0\xf3M\xb9q\xf1&%\xfb=3G\xac\xa33" +
+	"\xd1\xe1n%\xd2\xe3\x12zR\xc0n\x081\x0c\x1e\x90" +
+	"\xd0\x15\x01\x885\x1d\x1eS.K\xe8\xa3\xac\x03k:" +
+	"\xe6\x07nTaQ\xa0\xab4\xe9z>\xdaI\xa0\x9d" +
+	"\xd0ejAi\xb2\xc1b\xa1\xca5\x0c\xeb\xd8D(" +
+	"H\xa0\xb3id\x02\x83\x83\xb3\xc1\xf4\xbf}\xbfIF" +
+	"!45W\x86\x86\x95\xb4'Jz\x98t\xb7\x84\xee" +
+	"kv\xa4\x97\xf9m\x96\xd0\xdbE\x8a\xd1\xa0?\xc3\x8c" +
+	"\xd0\xd9\xf4\x1b\x01\x9d\xa9L\xc3\xa5\x92\xa9a\x9a\x13m" +
+	"L\x12=\xca\x89\x86$\xf4\x9ef\xa2]\x9chTB" +
+	"\x17ZZ\xbf\x97[\xbfSB\x8f\xddv\xf6<gG" +
+	"gsrS\xa4D\x83\xd4t\x10>fJA\x882" +
+	"\x93\xbb;!\xf72\x93[\x94\xd0\xaf5\xc9\xbd\xba\x9b" +
+	"H\xbf\"\xa1\x97Z\xc8\xbd\xc1\xe0\x05\x09\xfd>\xf7s" +
+	"h\xad\x9f\xefN\x10\xe9w$\xf42\xfbR\xac\xf9\xf2" +
+	"\xe3)\"\xfd\x91\x84^\x11\xb03\xd2A\x86\xc8\xfe\x8c" +
+	"\xf3,K\xe8o\xd2\xda\xa2Z\x18T\xbd\xba)\x13\xd1" +
+	":\xe5uc\xf6\xb7\xfc\xea\x1f\x8e\xe5Q\xdb\xb4)\x03" +
+	"$\x80\xd6;\xf9\xfd\xeb\x96\xa7\xabnL91\x0f\x0f" +
+	"\xc2\xa6T\xcd\x0aaP\x0b\xeane\xdfL2\xcb\xeb" +
+	";'\x99\x81\xde\x91\x16\xeb\x84\xc1\x8c\x9f\x8cTz6" +
+	"S\xde\x0c\xaa\x9e\xac\xc7\xde\xdc\xd2\xc8\xa0\xee\xc5V\xa2" +
+	"\xe2=\x90(nA\xd2\x18\xd5\x83\x01\xa2b7\xc3}" +
+	"\xe0\xde\x0c\xc5\xbdQ\xbd\x18!*nf|;\x9a\xe3" +
+	"\xa6\xfa\xb1\x9b\xa8\xd8\xc7\xf8ChvH\xed\x88\xf1\x07" +
+	"\x19\x1fe<3\x1c7I\x0dc\x82\xa88\xc4\xf8\x1e" +
+	"\xc6\xb3\xd2A\x96H\xed\xc2\x14Qq'\xe3c\x8c\xb7" +
+	"\x8d8\xf1\x96\xd7\xf1;\x05\xc6\xc7\x19o\xb7\x1c\xb4\x13" +
+	"\xa9\xa7b\x9ec\x8c\x1f`<\xf7\x88\x83\x1c\x91z:" +
+	"\x96\xf5$\xe3e\xc67\x8c:\xd8\xc0\x7f\x001\xffq" +
+	"\xc6'q\xdb\xde_8\x18\xba~k\xdb\xff\x7f#E" +
+	"\xa5\xa0Z\xab\x98i\xc3\x8f\xde\xb84X7~9\xe6" +
+	"\xdb\xba\x93\xd8u\xbc\xb3\xea\x8d\xb0\x85\x8aqg=\xff" +
+	"`\x92\xeb\x1f{\x84\x99\xdcz\xf9&\xbbw\xa0\xb9{" +
+	"\x1b\x86h.\xdfZ\xcb\xf2\xad\xf2\x04W$\xf4\xa1\xff" +
+	"\xa8\xc4\x7f\x07\x00\x00\xff\xff\x98\xe7\xdb?"
 
 func RegisterSchema(reg *schemas.Registry) {
 	reg.Register(&schemas.Schema{
@@ -1214,9 +1214,9 @@
 			0xbe8b310fba8ca424,
 			0xc56af5dd8d4ec00d,
 			0xc591ccb3a7f9c0c3,
+			0xd2448a81170212a9,
 			0xf1a3290085a8b80d,
 			0xfbf8cf6339fe7cde,
-			0xfccd5f521b823268,
 		},
 		Compressed: true,
 	})
