--- a/cmd/nickelline/control.go
+++ b/cmd/nickelline/control.go
@@ -21,22 +21,7 @@
 
 // Run serves until the process is asked to end.
 func (ControlCommand) Run(caught *signals) error {
-	p, err := newProcess()
-	if err != nil {
-		return err
-	}
-	n, err := newControlNode(p)
-	if err != nil {
-		return err
-	}
-	ctx, stop := context.WithCancel(context.Background())
-	defer stop()
-	if err := n.run(ctx, caught); err != nil {
-		return err
-	}
-	err = p.awaitEnd(n.diskFailed, caught, n.fileSystem)
-	n.handOver(ctx)
-	return err
+	return runRole(caught, newControlNode)
 }
 
 // controlNode is a node with the control role.
@@ -75,7 +60,7 @@
 	return n, nil
 }
 
-// run starts all services of the node, which end with ctx or with handOver.
+// run starts all services of the node, which end with ctx or with end.
 func (n *controlNode) run(ctx context.Context, caught *signals) error {
 	n.start()
 	n.serveMetrics()
@@ -87,8 +72,13 @@
 	return nil
 }
 
-// handOver has another replica take over, within a limited time, and closes the node.
-func (n *controlNode) handOver(ctx context.Context) {
+// serve returns when the process is asked to end, or its disk has failed.
+func (n *controlNode) serve(_ context.Context, caught *signals) error {
+	return n.awaitEnd(n.diskFailed, caught, n.fileSystem)
+}
+
+// end has another replica take over, within a limited time, and closes the node.
+func (n *controlNode) end(ctx context.Context) {
 	n.announceLeaving()
 	ctx, cancel := context.WithTimeout(ctx, handOverTime(n.settings))
 	n.control.Stop(ctx)
--- a/cmd/nickelline/proxy.go
+++ b/cmd/nickelline/proxy.go
@@ -17,9 +17,9 @@
 )
 
 const (
-	proofMargin       = 0.3  // of the time after which a key that was taken away must have no effect: kept free
-	clientDescriptors = 0.45 // of all descriptors: connections of clients
-	serverDescriptors = 0.35 // connections to backends
+	proofMargin        = 0.3  // of the time after which a key that was taken away must have no effect: kept free
+	clientDescriptors  = 0.45 // of all descriptors: connections of clients
+	backendDescriptors = 0.35 // connections to backends
 )
 
 // ProxyCommand is the role that carries traffic.
@@ -27,22 +27,7 @@
 
 // Run serves until the process is asked to end.
 func (ProxyCommand) Run(caught *signals) error {
-	p, err := newProcess()
-	if err != nil {
-		return err
-	}
-	n, err := newProxyNode(p)
-	if err != nil {
-		return err
-	}
-	ctx, stop := context.WithCancel(context.Background())
-	defer stop()
-	if err := n.run(ctx, caught); err != nil {
-		return err
-	}
-	err = n.serve(ctx, caught)
-	n.leave()
-	return err
+	return runRole(caught, newProxyNode)
 }
 
 // proxyNode is a node with the proxy role.
@@ -73,7 +58,7 @@
 	n.limiter = quota.NewLimiter(quota.PolicyOf(&p.settings.Bounds), n.transport, n.controlNodes, p.log)
 	n.limiter.HandleAnnouncements(n.transport)
 	n.sender = forward.NewClient(forward.Options{
-		Connections: int(serverDescriptors * float64(p.settings.Limits.FileDescriptors)),
+		Connections: int(backendDescriptors * float64(p.settings.Limits.FileDescriptors)),
 	})
 	n.state.OnBackends(n.sender.SetBackends)
 	n.proxy = proxy.New(clients, readiness, n.proxyOptions())
@@ -97,7 +82,7 @@
 	}
 }
 
-// run starts all services of the node but the serving of clients. They end with ctx or with leave.
+// run starts all services of the node but the serving of clients. They end with ctx or with end.
 func (n *proxyNode) run(ctx context.Context, caught *signals) error {
 	n.start()
 	n.serveMetrics(poolMetrics(n.state), proxyMetrics(n.proxy, n.limiter))
@@ -128,6 +113,9 @@
 	return nil
 }
 
+// end closes the node, whose requests and leases serve has ended.
+func (n *proxyNode) end(context.Context) { n.leave() }
+
 // drain waits for the requests under way, for the grace period at most.
 func (n *proxyNode) drain(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, settings.Seconds(n.settings.Bounds.GracePeriodS))
--- a/cmd/nickelline/store.go
+++ b/cmd/nickelline/store.go
@@ -26,22 +26,7 @@
 
 // Run serves until the process is asked to end.
 func (StoreCommand) Run(caught *signals) error {
-	p, err := newProcess()
-	if err != nil {
-		return err
-	}
-	n, err := newStoreNode(p)
-	if err != nil {
-		return err
-	}
-	ctx, stop := context.WithCancel(context.Background())
-	defer stop()
-	if err := n.run(ctx, caught); err != nil {
-		return err
-	}
-	err = p.awaitEnd(n.diskFailed, caught, n.fileSystem)
-	n.handOver()
-	return err
+	return runRole(caught, newStoreNode)
 }
 
 // storeNode is a node with the store role.
@@ -101,7 +86,7 @@
 	}
 }
 
-// run starts all services of the node, which end with ctx or with handOver.
+// run starts all services of the node, which end with ctx or with end.
 func (n *storeNode) run(ctx context.Context, caught *signals) error {
 	n.state.OnPlacement(n.store.SetPlacement)
 	n.start()
@@ -116,8 +101,13 @@
 	return nil
 }
 
-// handOver waits until other stores have taken over the partitions, or for a limited time, and closes the node.
-func (n *storeNode) handOver() {
+// serve returns when the process is asked to end, or its disk has failed.
+func (n *storeNode) serve(_ context.Context, caught *signals) error {
+	return n.awaitEnd(n.diskFailed, caught, n.fileSystem)
+}
+
+// end waits until other stores have taken over the partitions, or for a limited time, and closes the node.
+func (n *storeNode) end(context.Context) {
 	n.announceLeaving()
 	awaitUnplaced(n.state, n.replica, handOverTime(n.settings))
 	n.store.Close()
