discovery: a version published within a poll has no proof younger than the one before

The time from which the age of the proof is taken off was read after the age: a process held up between the two certified a proof younger than it is, and the poll under way then took the version for a newer one and did not publish its list. Change: the time is read first. Result: the new test fails without it.

--- a/internal/discovery/poller_test.go
+++ b/internal/discovery/poller_test.go
@@ -193,3 +193,33 @@
 		}
 	}
 }
+
+// heldUpDistribution takes a while to tell the age of its proof, as on a machine that is held up.
+type heldUpDistribution struct{ *fakeDistribution }
+
+func (d heldUpDistribution) ProofAge() time.Duration {
+	age := d.fakeDistribution.ProofAge()
+	for began := time.Now(); time.Since(began) < time.Millisecond; {
+	}
+	return age
+}
+
+// A version that is published within a poll has the proof of the one before, and none that is younger.
+func TestDrainingIsPublishedWithTheProofOfTheVersionBefore(t *testing.T) {
+	backends := manyBackends(3)
+	for i := range backends {
+		backends[i].Draining = false
+	}
+	d := &fakeDistribution{}
+	r := newTestPoller(heldUpDistribution{d}, &pagedSource{pages: [][]Backend{backends}, each: func() {}})
+	r.poll(t.Context(), true)
+	proof := d.proof
+	draining := append([]Backend(nil), backends...)
+	draining[1].Draining = true
+	if _, published := r.publishDraining(draining); !published {
+		t.Fatal("draining backend: got no new version")
+	}
+	if d.proof.After(proof) {
+		t.Errorf("proof of the new version: got one younger by %v, want that of the version before", d.proof.Sub(proof))
+	}
+}
--- a/internal/discovery/publish.go
+++ b/internal/discovery/publish.go
@@ -46,10 +46,11 @@
 	if !changed {
 		return 0, false
 	}
+	now := time.Now() // before the age is read: the proof must not seem younger than it is
 	age := p.distribution.ProofAge()
 	next, published := p.publish(sequence, list)
 	if published && age != unproven {
-		p.distribution.Certify(next, time.Now().Add(-age))
+		p.distribution.Certify(next, now.Add(-age))
 	}
 	return next, published
 }
