quota: log and metrics that tell the incident's hypotheses apart

The allocator logs the end of its grace period with the level of the fullest tenant against its capacity. New metrics: the same of the allocator now, admissions of a proxy by source, refunds, executions and repeated executions. Behaviour is unchanged.

--- a/cmd/nickelline/control.go
+++ b/cmd/nickelline/control.go
@@ -28,6 +28,7 @@
 type controlNode struct {
 	*node
 	control    *control.Control
+	quotas     *quota.Service // nil in a process without a replica
 	fileSystem segment.OSFileSystem
 	diskFailed chan error // receives the first failure of the disk
 }
@@ -56,14 +57,14 @@
 	if err != nil {
 		return nil, err
 	}
-	serveQuotas(n.node, n.control)
+	n.quotas = serveQuotas(n.node, n.control)
 	return n, nil
 }
 
 // startServices starts all services of the node. They stop when ctx ends or with shutDown.
 func (n *controlNode) startServices(ctx context.Context, caught *signals) error {
 	n.start()
-	n.serveMetrics()
+	n.serveMetrics(allocatorMetrics(n.quotas))
 	n.control.Start()
 	if err := n.startBackendPolling(ctx); err != nil {
 		return err
@@ -100,17 +101,18 @@
 	return settings.Seconds(s.Bounds.GracePeriodS * handOverFraction)
 }
 
-// serveQuotas makes this node allocate the tenants' limits while it is the head of the control chain. It does nothing in a
+// serveQuotas makes this node allocate the tenants' limits while it is the head of the control chain. It returns nil in a
 // process without a replica.
-func serveQuotas(n *node, role *control.Control) {
+func serveQuotas(n *node, role *control.Control) *quota.Service {
 	headStatus := role.HeadStatus()
 	if headStatus == nil {
-		return
+		return nil
 	}
 	limits := func(tenant string) quota.Limit { return limitOf(role.State().Configuration, tenant) }
 	policy := quota.PolicyOf(&n.settings.Bounds)
 	service := quota.NewService(policy, headStatus, leaseholderRegistry{role}, limits, n.isGone, n.transport, n.log)
 	role.OnView(func(v view.View, head bool) { service.ObserveView(v.Epoch, head) })
+	return service
 }
 
 // isGone reports whether no running process is known at an address.
--- a/cmd/nickelline/golden_test.go
+++ b/cmd/nickelline/golden_test.go
@@ -128,9 +128,13 @@
 	writePool(&w, metrics.Label{Name: "service", Value: "models"}, samplePoolStats())
 	writeRequests(&w, proxy.Stats{
 		ErrorResponses:   map[fault.Kind]uint64{fault.Overloaded: 21, fault.QuotaExceeded: 22},
-		BackendResponses: 23, Attempts: 24, Retries: 25,
+		BackendResponses: 23, Attempts: 24, Retries: 25, Executions: 26, Repeated: 27,
 	})
-	writeLeases(&w, quota.Stats{Leases: 31, Rate: 32.5, Waiting: 33})
+	writeLeases(&w, quota.Stats{
+		Leases: 31, Rate: 32.5, Waiting: 33,
+		Admissions: quota.Admissions{FromLeases: 34, FromAllocator: 35, Refunded: 36},
+	})
+	writeAllocator(&w, quota.AllocatorStats{InGrace: true, Unreclaimed: 51, HighestLevel: 0.5, Granted: 52, Returned: 53.5})
 	writeItems(&w, store.Stats{
 		Partitions: 41, Heads: 42,
 		Routes: map[string]store.RouteStats{"push": {Waiting: 43, Late: 44, Running: 45}},
--- a/cmd/nickelline/metrics.go
+++ b/cmd/nickelline/metrics.go
@@ -131,12 +131,39 @@
 	}
 	w.Counter("nickelline_sends_total", stats.Attempts)
 	w.Counter("nickelline_retries_total", stats.Retries)
+	w.Counter("nickelline_executions_total", stats.Executions)
+	w.Counter("nickelline_repeated_executions_total", stats.Repeated)
 }
 
 func writeLeases(w *metrics.Writer, leases quota.Stats) {
 	w.Gauge("nickelline_quota_leases", float64(leases.Leases))
 	w.Gauge("nickelline_quota_leased_per_second", leases.Rate)
 	w.Gauge("nickelline_quota_waiting", float64(leases.Waiting))
+	from := func(source string) metrics.Label { return metrics.Label{Name: "from", Value: source} }
+	w.Counter("nickelline_quota_admitted_total", leases.FromLeases, from("lease"))
+	w.Counter("nickelline_quota_admitted_total", leases.FromAllocator, from("allocator"))
+	w.Counter("nickelline_quota_refunded_total", leases.Refunded)
+}
+
+// allocatorMetrics returns a source of the metrics of the quota allocator, which only the head of the control chain has. The
+// service is nil in a process without a replica.
+func allocatorMetrics(service *quota.Service) metrics.Source {
+	return func(w *metrics.Writer) {
+		if service == nil {
+			return
+		}
+		if stats, active := service.AllocatorStats(time.Now()); active {
+			writeAllocator(w, stats)
+		}
+	}
+}
+
+func writeAllocator(w *metrics.Writer, stats quota.AllocatorStats) {
+	w.Gauge("nickelline_quota_grace_period", boolGauge(stats.InGrace))
+	w.Gauge("nickelline_quota_unreclaimed", float64(stats.Unreclaimed))
+	w.Gauge("nickelline_quota_highest_level", stats.HighestLevel)
+	w.Gauge("nickelline_quota_granted", stats.Granted)
+	w.Gauge("nickelline_quota_returned", stats.Returned)
 }
 
 // storeMetrics returns a source of the metrics of a store's partitions and batch items.
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -114,7 +114,7 @@
 		e.recordInterruption(a, err)
 		return false
 	}
-	e.executed++
+	e.recordExecution()
 	response := &backendResponse{status: a.response.Status, header: a.response.Header, body: body}
 	a.ticket.Started(time.Now())
 	switch {
--- a/internal/proxy/retry.go
+++ b/internal/proxy/retry.go
@@ -71,10 +71,16 @@
 	case f.Outcome == forward.NotExecuted:
 		e.refusals++
 	default:
-		e.executed++
+		e.recordExecution()
 	}
 }
 
+// recordExecution counts an attempt that was or may have been executed.
+func (e *exchange) recordExecution() {
+	e.proxy.counters.recordExecution(e.executed)
+	e.executed++
+}
+
 // refusalError returns the error for a request that admission refuses.
 func (e *exchange) refusalError(r *admission.Refusal) error {
 	overloaded := fault.New(fault.Overloaded, "no backend of service %s has free capacity", e.service)
--- a/internal/proxy/stats.go
+++ b/internal/proxy/stats.go
@@ -12,6 +12,9 @@
 	delivered atomic.Uint64                 // responses of backends
 	attempts  atomic.Uint64
 	retries   atomic.Uint64
+	// executions are the attempts that were or may have been executed, repeated those beyond the first of their request.
+	executions atomic.Uint64
+	repeated   atomic.Uint64
 }
 
 func newCounters() *counters {
@@ -30,6 +33,14 @@
 	}
 }
 
+// recordExecution counts an execution of a request that has been executed a number of times before.
+func (c *counters) recordExecution(previous int) {
+	c.executions.Add(1)
+	if previous > 0 {
+		c.repeated.Add(1)
+	}
+}
+
 // Stats are counters of a proxy since its start.
 type Stats struct {
 	// ErrorResponses counts the proxy's own error responses, by kind.
@@ -39,6 +50,9 @@
 	// Attempts counts the attempts to send a request to a backend, Retries those that were not the first for their
 	// request.
 	Attempts, Retries uint64
+	// Executions counts the attempts that were or may have been executed, Repeated those that were not the first for their
+	// request.
+	Executions, Repeated uint64
 }
 
 // Stats returns the counters of the proxy.
@@ -48,6 +62,8 @@
 		BackendResponses: p.counters.delivered.Load(),
 		Attempts:         p.counters.attempts.Load(),
 		Retries:          p.counters.retries.Load(),
+		Executions:       p.counters.executions.Load(),
+		Repeated:         p.counters.repeated.Load(),
 	}
 	for kind, count := range p.counters.errors {
 		stats.ErrorResponses[kind] = count.Load()
--- a/internal/proxy/stats_test.go
+++ b/internal/proxy/stats_test.go
@@ -67,6 +67,9 @@
 	if stats.Attempts != 2 || stats.Retries != 1 || stats.BackendResponses != 1 {
 		t.Errorf("Stats: got %+v, want Attempts 2, Retries 1, BackendResponses 1", stats)
 	}
+	if stats.Executions != 2 || stats.Repeated != 1 {
+		t.Errorf("Stats: got %+v, want Executions 2, Repeated 1", stats)
+	}
 	for kind, count := range stats.ErrorResponses {
 		want := uint64(0)
 		if kind == fault.RouteNotFound {
--- a/internal/proxy/streaming.go
+++ b/internal/proxy/streaming.go
@@ -33,7 +33,7 @@
 		e.beginResponse(a, w, len(events) > 0 || ended)
 		switch {
 		case ended:
-			e.executed++
+			e.recordExecution()
 			a.end(admission.OK)
 			e.proxy.counters.delivered.Add(1)
 			w.endStream(events)
--- a/internal/quota/activation.go
+++ b/internal/quota/activation.go
@@ -87,10 +87,17 @@
 }
 
 // announce sends an announcement of this allocator to the proxies that have not yet reclaimed their leases, and repeats it
-// every announceInterval until all of them have. The caller holds the mutex.
+// every announceInterval until the grace period has ended. The caller holds the mutex.
 func (s *Service) announce(now time.Time, a *Allocator) {
+	if s.allocator != a {
+		return
+	}
 	addresses := a.Unreclaimed(now)
-	if s.allocator != a || len(addresses) == 0 {
+	if len(addresses) == 0 {
+		stats := a.Stats(now)
+		s.log.Info("quota grace period ended", zap.Uint64("epoch", s.epoch), zap.Int("unreclaimed", stats.Unreclaimed),
+			zap.Float64("highestLevel", stats.HighestLevel), zap.Float64("granted", stats.Granted),
+			zap.Float64("returned", stats.Returned))
 		return
 	}
 	body, err := encodeAnnouncement(s.epoch)
--- a/internal/quota/allocator.go
+++ b/internal/quota/allocator.go
@@ -36,6 +36,8 @@
 	reserves     reserveState
 	unreclaimed  int  // number of leaseholders that have not yet reclaimed their leases
 	removable    bool // TakeRemovable may have something to return
+	// granted and returned count granted requests and returned tokens.
+	granted, returned float64
 	// isDown reports whether the process at an address is known not to run; nil means that it is never known.
 	isDown func(netip.AddrPort) bool
 }
@@ -110,8 +112,10 @@
 	lease.demand = entry.Demand
 	given := a.resize(now, account, lease, a.target(account, lease, limit), limit)
 	account.tokens += max(0, entry.Returned)
+	a.returned += max(0, entry.Returned)
 	granted := min(entry.Need, a.grantable(account, entry.Tenant, limit))
 	account.tokens -= float64(granted)
+	a.granted += float64(granted)
 	grant := Grant{Lease: given, Granted: granted}
 	switch shortfall := entry.Need - granted; {
 	case shortfall <= 0:
--- a/internal/quota/limiter.go
+++ b/internal/quota/limiter.go
@@ -44,6 +44,7 @@
 	allocator   netip.AddrPort
 	epoch       uint64 // newest known epoch of an allocator
 	mustReclaim bool   // the allocator may not know all leases
+	admissions  Admissions
 
 	// generation and sequence are not guarded by the mutex: only the goroutines of Run and, after it, Leave use them.
 	generation uint64
@@ -105,6 +106,7 @@
 	}
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
+	l.admissions.Refunded++
 	l.buckets.refund(time.Now(), tenant.Name)
 }
 
--- a/internal/quota/take.go
+++ b/internal/quota/take.go
@@ -44,6 +44,7 @@
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	if l.buckets.takeOnArrival(now, tenant) {
+		l.admissions.FromLeases++
 		return nil, nil
 	}
 	request := &waitingRequest{outcome: make(chan outcome, 1), deadline: now.Add(wait)}
--- a/internal/quota/waiting.go
+++ b/internal/quota/waiting.go
@@ -84,6 +84,7 @@
 	if !l.buckets.bucket(now, tenant).take() {
 		return false
 	}
+	l.admissions.FromLeases++
 	request.outcome <- granted
 	return true
 }
@@ -97,6 +98,7 @@
 			continue
 		case tokens > 0:
 			tokens--
+			l.admissions.FromAllocator++
 			request.outcome <- granted
 		case l.takeFor(now, tenant, request):
 		case l.keepWaiting(now, tenant, request, refusal):
