--- a/internal/quota/scenarios_test.go
+++ b/internal/quota/scenarios_test.go
@@ -249,3 +249,28 @@
 		t.Errorf("requests refused after the start of a new head: got a fraction of %.4f, want 0.03 at most", worst)
 	}
 }
+
+// TestSimulatedBurstInLongGracePeriod guards against tokens that proxies return in a grace period being granted beyond the
+// capacity: tenants that used little of their leases get more than their limit when they become hot.
+func TestSimulatedBurstInLongGracePeriod(t *testing.T) {
+	for seed := range uint64(12) {
+		s := newSimulation(t, seed, 10, eightTenants(0.62))
+		const (
+			headLost = warmUp + 5*time.Second
+			healed   = headLost + 8*time.Second
+		)
+		burst := headLost + 2*time.Second + time.Duration(s.random.Int64N(int64(4*time.Second)))
+		for _, tenant := range s.tenants {
+			s.traffic(tenant, tenant.demand, warmUp, headLost)
+			s.traffic(tenant, tenant.demand/2, headLost, burst)
+			s.traffic(tenant, 7.5*tenant.demand, burst, burst+5*time.Second)
+		}
+		s.proxies[0].partition(headLost, healed) // does not reclaim its leases, which keeps the grace period open
+		s.failOver(headLost, time.Second, 0)
+		s.clock.RunUntil(headLost + 2*time.Second)
+		if a := s.heads[0].allocator; a == nil || a.graceEnded(s.now()) {
+			t.Errorf("seed %d: grace period: want it open while a leaseholder is partitioned", seed)
+		}
+		s.clock.RunUntil(burst + 6*time.Second)
+	}
+}
