quota: bound the allocator's bucket in the grace period

Cause: Allocator.fill returned early in the grace period, before it bounded the bucket by the capacity, while the tokens that proxies return of their leases were added all the same. A leaseholder that cannot present its leases, here the proxy beside a former head that is cut off, keeps the grace period open for 5 s. A tenant that uses little of its leases meanwhile fills the bucket with more than the capacity, and may use all of that once it becomes hot.

Change: all tokens enter the bucket through deposit, which bounds it at any time: by the reserve while the former allocator may still grant (the first second), otherwise by the part of the capacity that leases cannot take. That part is fixed now: the depths of all leases add up to depthFraction of the capacity at most, where before they might take what the bucket did not hold, so that the leases which a new allocator does not know are bounded too. The simulations check that sum; the check is tighter than before.

--- a/internal/quota/account.go
+++ b/internal/quota/account.go
@@ -12,6 +12,7 @@
 	demand   float64   // requests a second, sum over all leases
 	leases   int       // number of leases
 	tokens   float64   // in the allocator's bucket
+	reserve  float64   // tokens that the bucket began with, which the former allocator had kept
 	filledAt time.Time // time up to which tokens have been added
 }
 
@@ -19,7 +20,8 @@
 func (a *Allocator) accountOf(now time.Time, tenant string, limit Limit) *tenantAccount {
 	account := a.tenants[tenant]
 	if account == nil {
-		account = &tenantAccount{filledAt: now, tokens: a.initialTokens(tenant, limit)}
+		reserve := a.initialTokens(tenant, limit)
+		account = &tenantAccount{filledAt: now, tokens: reserve, reserve: reserve}
 		if a.graceEnded(now) {
 			account.filledAt = a.graceEndsAt
 		}
@@ -41,9 +43,23 @@
 		from = a.graceEndsAt
 	}
 	leasable := a.leasable(now, account, limit)
-	account.tokens += max(0, leasable.Rate) * now.Sub(from).Seconds()
+	a.deposit(now, account, limit, leasable.Rate*now.Sub(from).Seconds())
+}
+
+// deposit adds tokens to the tenant's bucket, up to its maximum.
+func (a *Allocator) deposit(now time.Time, account *tenantAccount, limit Limit, tokens float64) {
+	account.tokens = min(account.tokens+max(0, tokens), a.maxTokens(now, account, limit))
+}
+
+// maxTokens returns how many tokens the tenant's bucket may hold: the part of the capacity that leases cannot take, in the
+// grace period too. While the former allocator may still grant what its bucket holds, that is no more than the reserve,
+// which is all of the former bucket that this allocator owns.
+func (a *Allocator) maxTokens(now time.Time, account *tenantAccount, limit Limit) float64 {
+	if now.Before(a.formerEndsAt) && !a.graceEnded(now) {
+		return account.reserve
+	}
 	capacity := a.policy.capacity(limit)
-	account.tokens = min(account.tokens, (1-depthFraction)*capacity, max(0, capacity-account.leased.Depth))
+	return max(0, min((1-depthFraction)*capacity, capacity-account.leased.Depth))
 }
 
 // leasable returns the share that may be leased in addition: during the grace period only the share that leaseholders
@@ -54,7 +70,7 @@
 	}
 	return Share{
 		Rate:  limit.Rate - account.leased.Rate,
-		Depth: a.policy.capacity(limit) - account.leased.Depth - account.tokens,
+		Depth: depthFraction*a.policy.capacity(limit) - account.leased.Depth,
 	}
 }
 
--- a/internal/quota/allocator.go
+++ b/internal/quota/allocator.go
@@ -29,6 +29,7 @@
 type Allocator struct {
 	policy       Policy
 	limits       func(tenant string) Limit
+	formerEndsAt time.Time                 // the former allocator grants nothing from then on
 	graceEndsAt  time.Time                 // end of the grace period: all outstanding leases are known
 	sweepAt      time.Time                 // earliest time of the next search for expired leases
 	tenants      map[string]*tenantAccount // by name
@@ -52,6 +53,7 @@
 	a := &Allocator{
 		policy:       p,
 		limits:       limits,
+		formerEndsAt: now.Add(HeadProofLifetime),
 		graceEndsAt:  now.Add(p.Lease + HeadProofLifetime),
 		sweepAt:      now.Add(sweepInterval),
 		tenants:      make(map[string]*tenantAccount),
@@ -111,7 +113,7 @@
 	account.demand += entry.Demand - lease.demand
 	lease.demand = entry.Demand
 	given := a.resize(now, account, lease, a.target(account, lease, limit), limit)
-	account.tokens += max(0, entry.Returned)
+	a.deposit(now, account, limit, entry.Returned)
 	a.returned += max(0, entry.Returned)
 	granted := min(entry.Need, a.grantable(account, entry.Tenant, limit))
 	account.tokens -= float64(granted)
--- a/internal/quota/doc.go
+++ b/internal/quota/doc.go
@@ -14,6 +14,8 @@
 //   - A reduced share stays outstanding at the allocator until its leaseholder has confirmed the reduction by a renewal,
 //     or the lease has expired.
 //   - The tokens that a lease gives beyond its depth are returned to the allocator's bucket by the next renewal.
+//   - The depths of all leases take a fixed fraction of the capacity at most, and the allocator's bucket never holds more
+//     than the rest, in the grace period too.
 //   - New buckets are empty except for reserves, which no former allocator has granted.
 //
 // # Fencing of old leaseholders
--- a/internal/quota/simulation_test.go
+++ b/internal/quota/simulation_test.go
@@ -167,7 +167,7 @@
 			}
 		}
 		const rounding = 1e-6
-		if over := sum.Rate > t.limit.Rate+rounding || sum.Depth > s.policy.capacity(t.limit)+rounding; over && !s.violated {
+		if over := sum.Rate > t.limit.Rate+rounding || sum.Depth > depthFraction*s.policy.capacity(t.limit)+rounding; over && !s.violated {
 			s.violated = true
 			s.t.Errorf("%s: sum of leases: got %+v at %v, limit %+v", t.name, sum, s.clock.Now(), t.limit)
 		}
