quota: no tokens twice for callers that read the clock before others

Goroutines read the clock, then wait for the mutex of the limiter or of the service. One that is held up in between, by a preemption or a spent share of a core, filled a bucket at an earlier time than the last one, set filledAt back, and the next call gave the tokens of that span again. The span has no bound, so neither had what a tenant gets beyond its limit.

Evidence: the two tests fail before: 35 tokens in place of 10 at a proxy, and more than 25 at the allocator. Change: fill ignores an earlier time.

--- a/internal/quota/account.go
+++ b/internal/quota/account.go
@@ -32,9 +32,13 @@
 }
 
 // fill adds to the tenant's bucket the tokens of its unleased rate since the last call, or since the end of the grace
-// period. It adds none during the grace period.
+// period. It adds none during the grace period. An earlier time than that of the last call has no effect: a caller may have
+// waited for the mutex after it read the clock.
 func (a *Allocator) fill(now time.Time, account *tenantAccount, limit Limit) {
 	from := account.filledAt
+	if now.Before(from) {
+		return
+	}
 	account.filledAt = now
 	if !a.graceEnded(now) {
 		return
--- a/internal/quota/allocator_test.go
+++ b/internal/quota/allocator_test.go
@@ -172,3 +172,18 @@
 		})
 	}
 }
+
+// TestAllocatorIgnoresAnEarlierTime guards against tokens given twice: renewals read the clock before they take the mutex, so
+// the allocator may see an earlier time after a later one.
+func TestAllocatorIgnoresAnEarlierTime(t *testing.T) {
+	limit := Limit{Rate: 50, Burst: 50}
+	a, _ := allocatorAfterGrace(limit)
+	a.accountOf(after(0), "t", limit)
+	for range 5 {
+		a.accountOf(after(time.Second/2), "t", limit)
+		a.accountOf(after(time.Second/4), "t", limit)
+	}
+	if got := a.accountOf(after(time.Second/2), "t", limit).tokens; got > 25+1e-9 {
+		t.Errorf("tokens of 0.5 s at 50 requests a second: got %v, want 25 at most", got)
+	}
+}
--- a/internal/quota/bucket.go
+++ b/internal/quota/bucket.go
@@ -52,15 +52,19 @@
 }
 
 // fill adds the tokens that the lease has given since the last call: up to its depth to the tokens, the rest to the
-// surplus. An expired lease gives no tokens, and fill then empties the bucket.
+// surplus. An expired lease gives no tokens, and fill then empties the bucket. An earlier time than that of the last call has
+// no effect: a caller may have waited for the mutex after it read the clock.
 func (bucket *leasedBucket) fill(now time.Time) {
+	if now.Before(bucket.filledAt) {
+		return
+	}
 	if !now.Before(bucket.expiresAt) {
 		bucket.lease = Share{}
 		bucket.tokens, bucket.surplus = 0, 0
 		bucket.filledAt = now
 		return
 	}
-	bucket.tokens += bucket.lease.Rate * max(0, now.Sub(bucket.filledAt).Seconds())
+	bucket.tokens += bucket.lease.Rate * now.Sub(bucket.filledAt).Seconds()
 	bucket.filledAt = now
 	if over := bucket.tokens - bucket.lease.Depth; over > 0 {
 		bucket.tokens = bucket.lease.Depth
--- a/internal/quota/bucket_test.go
+++ b/internal/quota/bucket_test.go
@@ -38,6 +38,22 @@
 	}
 }
 
+// TestBucketIgnoresAnEarlierTime guards against tokens given twice: goroutines read the clock before they take the mutex, so a
+// bucket may see an earlier time after a later one.
+func TestBucketIgnoresAnEarlierTime(t *testing.T) {
+	b := newLeasedBuckets(testPolicy)
+	b.takeOnArrival(after(0), "t")
+	entries := b.renewalEntries(after(0), nil, true)
+	b.apply(after(0), after(0), entries, []Grant{{Lease: Share{Rate: 10, Depth: 100}}})
+	for range 5 {
+		b.bucket(after(time.Second), "t")
+		b.bucket(after(time.Second/2), "t")
+	}
+	if got := b.bucket(after(time.Second), "t").tokens; got > 10+1e-9 {
+		t.Errorf("tokens of 1 s at 10 requests a second: got %v, want 10 at most", got)
+	}
+}
+
 func TestRefundReturnsAToken(t *testing.T) {
 	b := newLeasedBuckets(testPolicy)
 	b.takeOnArrival(after(0), "t")
