quota: the sum of all buckets stays within the tolerance for every limit

Counting what all buckets of a tenant may hold when a window begins shows more than the tolerance for large limits and for limits with a small burst: the surplus was counted with 0.9 of the rate, though leases may take all of it, and only 0.7 of what was left after the surplus was counted as the rest. A limit of 1,000 requests a second without a burst could get 5,549 requests in 5 s where 5,520 are allowed, one of 5,000 with a burst of 5,000 33,039 where 33,020 are.

Now nine tenths of the tolerance are for the capacity and the surplus together, and the span of the surplus follows from the policy (0.45 s for the bounds of the deployments, 0.5 s before). The capacity changes little: for a rate and burst of 158, 190.2 in place of 188.6. TestBucketReturnsItsSurplus expects the smaller surplus.

--- a/internal/quota/bucket.go
+++ b/internal/quota/bucket.go
@@ -20,11 +20,12 @@
 
 // leasedBucket is the token bucket of one tenant, which a lease fills. It also measures the demand that the proxy reports.
 type leasedBucket struct {
-	lease     Share
-	expiresAt time.Time // of the lease
-	tokens    float64
-	surplus   float64 // tokens given by the lease beyond its depth, which are used or returned
-	filledAt  time.Time
+	lease       Share
+	expiresAt   time.Time // of the lease
+	tokens      float64
+	surplus     float64       // tokens given by the lease beyond its depth, which are used or returned
+	surplusSpan time.Duration // Policy.surplusSpan
+	filledAt    time.Time
 
 	arrivals        float64 // since demandUpdatedAt
 	demandUpdatedAt time.Time
@@ -43,8 +44,14 @@
 func (b *leasedBuckets) bucket(now time.Time, tenant string) *leasedBucket {
 	bucket := b.byTenant[tenant]
 	if bucket == nil {
-		bucket = &leasedBucket{filledAt: now, demandUpdatedAt: now, lastArrivalAt: now, demand: 1 / firstDemandSpan.Seconds()}
-		bucket.refusal = unsettled
+		bucket = &leasedBucket{
+			surplusSpan:     b.policy.surplusSpan(),
+			filledAt:        now,
+			demandUpdatedAt: now,
+			lastArrivalAt:   now,
+			demand:          1 / firstDemandSpan.Seconds(),
+			refusal:         unsettled,
+		}
 		b.byTenant[tenant] = bucket
 	}
 	bucket.fill(now)
@@ -66,10 +73,9 @@
 	}
 	bucket.tokens += bucket.lease.Rate * now.Sub(bucket.filledAt).Seconds()
 	bucket.filledAt = now
-	if over := bucket.tokens - bucket.lease.Depth; over > 0 {
-		bucket.tokens = bucket.lease.Depth
-		bucket.surplus = min(bucket.surplus+over, bucket.lease.Rate*surplusSpan.Seconds())
-	}
+	over := max(0, bucket.tokens-bucket.lease.Depth)
+	bucket.tokens -= over
+	bucket.surplus = min(bucket.surplus+over, bucket.lease.Rate*bucket.surplusSpan.Seconds())
 }
 
 // takeOnArrival counts the arrival of a request and takes a token for it. It reports whether there was a token.
--- a/internal/quota/bucket_test.go
+++ b/internal/quota/bucket_test.go
@@ -30,8 +30,8 @@
 	entries := b.renewalEntries(after(0), nil, true)
 	b.apply(after(0), after(0), entries, []Grant{{Lease: Share{Rate: 10, Depth: 3}}})
 	entries = b.renewalEntries(after(time.Second), nil, true)
-	if got := entries[0].Returned; math.Abs(got-5) > 1e-9 { // of 10 given tokens 3 are saved, and 5 are given in surplusSpan
-		t.Errorf("returned surplus: got %v, want 5", got)
+	if got := entries[0].Returned; math.Abs(got-4.5) > 1e-9 { // of 10 given tokens 3 are saved, and 4.5 are given in surplusSpan
+		t.Errorf("returned surplus: got %v, want 4.5", got)
 	}
 	if again := b.renewalEntries(after(time.Second), nil, true)[0].Returned; again != 0 {
 		t.Errorf("surplus returned again: got %v, want 0", again)
--- a/internal/quota/policy.go
+++ b/internal/quota/policy.go
@@ -19,7 +19,8 @@
 	// grace period of a new allocator. A longer lease tolerates longer failures of the control nodes, but the shares of lost
 	// proxies stay unusable for longer.
 	Lease time.Duration
-	// Overshoot and Allowance are the tolerance beyond the limit: a fraction of the limit, and a number of requests.
+	// Overshoot and Allowance are the tolerance beyond the limit: a fraction of the limit, and a number of requests. Without
+	// an Overshoot, proxies cannot return tokens that they do not use, and tenants get less than their rate.
 	Overshoot, Allowance float64
 }
 
@@ -27,9 +28,12 @@
 	minLease       = 2 * time.Second // even if the window is shorter
 	maxLease       = 4 * time.Second // longer than the replacement of a head takes, shorter than the default window
 	defaultWindow  = 5 * time.Second
-	slackFraction  = 0.7         // of the policy's tolerance; the rest is for requests that are sent late and for clock drift
-	leasedFraction = 0.9         // of the rate, for all leases together; the rest fills the allocator's bucket
-	surplusSpan    = renewPeriod // until the surplus is returned, a bucket keeps at most what its lease gives in this time
+	leasedFraction = 0.9 // of the rate, for all leases together; the rest fills the allocator's bucket
+
+	// Parts of the policy's tolerance. The surplus is bounded by the part of the tolerance that every limit has, even without
+	// a burst and an allowance, since proxies do not know the limit.
+	slackFraction   = 0.9 // for the capacity and the surplus together; the rest is for refunds and for clock drift
+	surplusFraction = 0.9 // for the surplus
 )
 
 // PolicyOf returns the policy that the bounds in the settings define.
@@ -46,12 +50,19 @@
 	}
 }
 
+// surplusSpan returns how long a lease may give tokens beyond its depth: until the surplus is returned, a bucket keeps at
+// most what its lease gives in this time.
+func (p *Policy) surplusSpan() time.Duration {
+	return min(renewPeriod, time.Duration(surplusFraction*p.Overshoot*float64(p.Window)))
+}
+
 // capacity returns how many requests all buckets of a tenant may save up together, not counting the surplus that proxies
-// have yet to return.
+// have yet to return. The rates of all leases together may be the whole rate, so the surplus may be what the rate gives in
+// surplusSpan.
 func (p *Policy) capacity(l Limit) float64 {
 	slack := p.Overshoot*(l.Rate*p.Window.Seconds()+l.Burst) + p.Allowance
-	surplus := leasedFraction * l.Rate * surplusSpan.Seconds()
-	return l.Burst + slackFraction*max(0, slack-surplus)
+	surplus := l.Rate * p.surplusSpan().Seconds()
+	return l.Burst + slackFraction*slack - surplus
 }
 
 // Share is the part of a limit that a lease grants: Rate in requests a second, and Depth of the token bucket in requests.
--- a/internal/quota/simulation_test.go
+++ b/internal/quota/simulation_test.go
@@ -147,7 +147,7 @@
 func (s *simulation) checkTotal(t *simulatedTenant) {
 	t.total.drain(s.now(), t.limit)
 	t.total.used++
-	most := s.policy.capacity(t.limit) + t.limit.Rate*surplusSpan.Seconds()
+	most := s.policy.capacity(t.limit) + t.limit.Rate*s.policy.surplusSpan().Seconds()
 	if t.total.used > most && !s.violated {
 		s.violated = true
 		s.t.Errorf("%s: requests of one bucket: got %.1f at %v, want %.1f at most", t.name, t.total.used, s.clock.Now(), most)
