quota: count returned tokens until the renewal is answered

A renewal takes the surplus out of the bucket, and the lease fills it again at once. While the renewal is under way, and after it has failed without a clear end, the allocator may still receive those tokens, so that the same surplus is held twice: for all proxies of a head that stands still for some hundred milliseconds nearly half a second of the rate.

Surplus under way now counts against what the bucket may hold until an answer, or until HeadProofLifetime has passed: an allocator that was held up for that long answers nothing before it is proven to be the head again.

--- a/internal/quota/bucket.go
+++ b/internal/quota/bucket.go
@@ -24,8 +24,11 @@
 	expiresAt   time.Time // of the lease
 	tokens      float64
 	surplus     float64       // tokens given by the lease beyond its depth, which are used or returned
+	returning   float64       // surplus that the latest renewal has returned
 	surplusSpan time.Duration // Policy.surplusSpan
 	filledAt    time.Time
+	// returningUntil is the time until which the allocator may receive returning; zero if the renewal was answered.
+	returningUntil time.Time
 
 	arrivals        float64 // since demandUpdatedAt
 	demandUpdatedAt time.Time
@@ -75,7 +78,29 @@
 	bucket.filledAt = now
 	over := max(0, bucket.tokens-bucket.lease.Depth)
 	bucket.tokens -= over
-	bucket.surplus = min(bucket.surplus+over, bucket.lease.Rate*bucket.surplusSpan.Seconds())
+	bucket.surplus = min(bucket.surplus+over, bucket.maxSurplus(now))
+}
+
+// maxSurplus returns how much surplus the bucket may hold. Surplus that the allocator may still receive counts too.
+func (bucket *leasedBucket) maxSurplus(now time.Time) float64 {
+	surplus := bucket.lease.Rate * bucket.surplusSpan.Seconds()
+	if now.Before(bucket.returningUntil) {
+		surplus -= bucket.returning
+	}
+	return max(0, surplus)
+}
+
+// returnSurplus takes the surplus out of the bucket, to be returned by a renewal. Until the renewal is answered the allocator
+// may receive it, so that no more is returned, but not after HeadProofLifetime: an allocator that was held up for so long
+// answers nothing before it is proven to be the head again.
+func (bucket *leasedBucket) returnSurplus(now time.Time) float64 {
+	if now.Before(bucket.returningUntil) {
+		return 0
+	}
+	bucket.returning = bucket.surplus
+	bucket.returningUntil = now.Add(HeadProofLifetime)
+	bucket.surplus = 0 // lost if the message is lost, so that it is never returned twice
+	return bucket.returning
 }
 
 // takeOnArrival counts the arrival of a request and takes a token for it. It reports whether there was a token.
@@ -154,8 +179,8 @@
 		}
 		bucket.fill(now)
 		bucket.updateDemand(now)
-		entry := Entry{Tenant: tenant, Held: bucket.lease, Demand: bucket.demand, Need: need, Returned: bucket.surplus}
-		bucket.surplus = 0 // lost if the message is lost, so that it is never returned twice
+		entry := Entry{Tenant: tenant, Held: bucket.lease, Demand: bucket.demand, Need: need}
+		entry.Returned = bucket.returnSurplus(now)
 		entries = append(entries, entry)
 	}
 	return entries
@@ -184,6 +209,7 @@
 		}
 		grant := grants[i]
 		bucket.fill(now)
+		bucket.returningUntil = time.Time{}
 		bucket.expiresAt = askedAt.Add(b.policy.Lease)
 		bucket.lease = grant.Lease
 		bucket.fill(now)
--- a/internal/quota/policy.go
+++ b/internal/quota/policy.go
@@ -32,8 +32,8 @@
 
 	// Parts of the policy's tolerance. The surplus is bounded by the part of the tolerance that every limit has, even without
 	// a burst and an allowance, since proxies do not know the limit.
-	slackFraction   = 0.9 // for the capacity and the surplus together; the rest is for refunds and for clock drift
-	surplusFraction = 0.9 // for the surplus
+	slackFraction   = 0.95 // for the capacity and the surplus together; the rest is for refunds and for clock drift
+	surplusFraction = 0.94 // for the surplus
 )
 
 // PolicyOf returns the policy that the bounds in the settings define.
