quota: refund only tokens that were taken a moment ago

A request that no backend executed gave its token back however long it had waited for that: a refused dial, a full backend far away, an answer that names another instance. Meanwhile its lease had given the next token, so that a window could have both; the time had no bound but the client's deadline, and a tenant whose requests all wait could get that much beyond its limit.

Grants that abandoned requests leave over count from when the renewal was sent. TestLateRefundGivesNoToken fails without the check.

--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -22,8 +22,8 @@
 // QuotaLimiter counts requests against the quotas of tenants. *quota.Limiter implements it.
 type QuotaLimiter interface {
 	Take(ctx context.Context, tenant *configuration.Tenant) error
-	// Refund puts back what Take has taken for a request that was not executed.
-	Refund(tenant *configuration.Tenant)
+	// Refund puts back what Take has taken at a time for a request that was not executed.
+	Refund(tenant *configuration.Tenant, takenAt time.Time)
 }
 
 // Options configure a Proxy.
--- a/internal/proxy/serve.go
+++ b/internal/proxy/serve.go
@@ -78,8 +78,9 @@
 		w.writeError(err)
 		return
 	}
+	admittedAt := time.Now()
 	if executed := p.runExchange(ctx, r, w, route, tenant); !executed {
-		p.options.Quota.Refund(tenant)
+		p.options.Quota.Refund(tenant, admittedAt)
 	}
 }
 
--- a/internal/quota/bucket.go
+++ b/internal/quota/bucket.go
@@ -122,8 +122,12 @@
 	return true
 }
 
-// refund puts back the token of a request that was not executed.
-func (b *leasedBuckets) refund(now time.Time, tenant string) {
+// refund puts back the token of a request that was not executed, or does nothing if the token was taken more than
+// Policy.refundSpan ago: a bucket that was empty meanwhile has been filled again.
+func (b *leasedBuckets) refund(now, takenAt time.Time, tenant string) {
+	if now.Sub(takenAt) > b.policy.refundSpan() {
+		return
+	}
 	bucket := b.bucket(now, tenant)
 	bucket.tokens = min(bucket.tokens+1, bucket.lease.Depth)
 }
--- a/internal/quota/limiter.go
+++ b/internal/quota/limiter.go
@@ -99,15 +99,16 @@
 	}
 }
 
-// Refund puts back the token of an admitted request that certainly was not executed by any backend.
-func (l *Limiter) Refund(tenant *configuration.Tenant) {
+// Refund puts back the token of a request that was admitted at takenAt and certainly was not executed by any backend. A token
+// that was taken more than Policy.refundSpan ago is not put back.
+func (l *Limiter) Refund(tenant *configuration.Tenant, takenAt time.Time) {
 	if tenant == nil || !tenant.IsRateLimited() {
 		return
 	}
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	l.admissions.Refunded++
-	l.buckets.refund(time.Now(), tenant.Name)
+	l.buckets.refund(time.Now(), takenAt, tenant.Name)
 }
 
 // Run renews all leases every renewPeriod, and asks for grants when requests wait, until the context ends.
--- a/internal/quota/policy.go
+++ b/internal/quota/policy.go
@@ -32,8 +32,9 @@
 
 	// Parts of the policy's tolerance. The surplus is bounded by the part of the tolerance that every limit has, even without
 	// a burst and an allowance, since proxies do not know the limit.
-	slackFraction   = 0.95 // for the capacity and the surplus together; the rest is for refunds and for clock drift
+	slackFraction   = 0.95 // for the capacity and the surplus together; the rest is for refunds
 	surplusFraction = 0.94 // for the surplus
+	refundFraction  = 0.05 // for refunds
 )
 
 // PolicyOf returns the policy that the bounds in the settings define.
@@ -56,6 +57,12 @@
 	return min(renewPeriod, time.Duration(surplusFraction*p.Overshoot*float64(p.Window)))
 }
 
+// refundSpan returns how long after its admission the token of a request may be refunded. In this time its lease may have
+// given another token.
+func (p *Policy) refundSpan() time.Duration {
+	return time.Duration(refundFraction * p.Overshoot * float64(p.Window))
+}
+
 // capacity returns how many requests all buckets of a tenant may save up together, not counting the surplus that proxies
 // have yet to return. The rates of all leases together may be the whole rate, so the surplus may be what the rate gives in
 // surplusSpan.
--- a/internal/quota/renewal.go
+++ b/internal/quota/renewal.go
@@ -163,7 +163,10 @@
 	l.updateReclaim(round, answer)
 	tokens := l.buckets.apply(now, askedAt, round.entries, answer.grants)
 	for tenant, requests := range round.requests {
-		l.resolveRequests(now, tenant, requests, tokens[tenant], l.buckets.refusalOf(now, tenant))
+		unused := l.resolveRequests(now, tenant, requests, tokens[tenant], l.buckets.refusalOf(now, tenant))
+		for range unused {
+			l.buckets.refund(now, askedAt, tenant)
+		}
 	}
 }
 
--- a/internal/quota/waiting.go
+++ b/internal/quota/waiting.go
@@ -90,8 +90,10 @@
 }
 
 // resolveRequests gives the granted tokens, then those of the lease, to requests in order of arrival. The other requests
-// keep waiting or are refused. Granted tokens that abandoned requests leave over go to the bucket.
-func (l *Limiter) resolveRequests(now time.Time, tenant string, requests []*waitingRequest, tokens int, refusal outcome) {
+// keep waiting or are refused. It returns how many granted tokens abandoned requests leave over.
+func (l *Limiter) resolveRequests(
+	now time.Time, tenant string, requests []*waitingRequest, tokens int, refusal outcome,
+) (unused int) {
 	for _, request := range requests {
 		switch {
 		case request.abandoned:
@@ -106,9 +108,7 @@
 			request.outcome <- refusal
 		}
 	}
-	for ; tokens > 0; tokens-- {
-		l.buckets.refund(now, tenant)
-	}
+	return tokens
 }
 
 // await waits for the outcome of a request, until the wait or the context ends.
