--- a/internal/soak/backends_test.go
+++ b/internal/soak/backends_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
@@ -22,6 +23,9 @@
 	tokenTime      = 10 * time.Millisecond
 	healthPath     = "/health"
 
+	interruptedOneIn = 40 // executed requests whose response the backend interrupts
+	maxWrites        = 4  // the last write that may be interrupted
+
 	serviceEngine = "engine"
 	serviceCards  = "cards"
 )
@@ -67,10 +71,12 @@
 	}
 }
 
-// executionWriter notes whether a response says that the request was not executed.
+// executionWriter notes whether a response says that the request was not executed, and interrupts some responses.
 type executionWriter struct {
 	http.ResponseWriter
-	refused bool
+	refused     bool
+	interruptIn int // writes until the connection is closed; 0: never
+	interrupted bool
 }
 
 func (w *executionWriter) WriteHeader(status int) {
@@ -78,10 +84,21 @@
 	w.ResponseWriter.WriteHeader(status)
 }
 
+func (w *executionWriter) Write(content []byte) (int, error) {
+	if w.interruptIn > 0 && !w.refused {
+		if w.interruptIn--; w.interruptIn == 0 {
+			w.interrupted = true
+			panic(http.ErrAbortHandler) // closes the connection
+		}
+	}
+	return w.ResponseWriter.Write(content)
+}
+
 // Unwrap lets http.ResponseController flush the response.
 func (w *executionWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
 
-// recordExecutions records the requests that a backend executes.
+// recordExecutions records the requests that a backend executes. Some of the executed requests get no response, or a part
+// of it: the backend closes the connection.
 func recordExecutions(backend http.Handler, identifier string, record *record) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == healthPath || strings.HasPrefix(r.URL.Path, "/-/") {
@@ -91,9 +108,12 @@
 		at := time.Now()
 		attempt, tenant := r.Header.Get(headerAttemptID), r.Header.Get(headerTenantName)
 		wrapped := &executionWriter{ResponseWriter: w}
+		if rand.IntN(interruptedOneIn) == 0 {
+			wrapped.interruptIn = 1 + rand.IntN(maxWrites)
+		}
 		defer func() {
 			if !wrapped.refused && attempt != "" {
-				record.executed(attempt, execution{at: at, backend: identifier, tenant: tenant})
+				record.executed(attempt, execution{at: at, backend: identifier, tenant: tenant, interrupted: wrapped.interrupted})
 			}
 		}()
 		backend.ServeHTTP(wrapped, r)
--- a/internal/soak/record_test.go
+++ b/internal/soak/record_test.go
@@ -21,9 +21,10 @@
 
 // execution is a request that a backend has executed.
 type execution struct {
-	at      time.Time // of its arrival
-	backend string
-	tenant  string
+	at          time.Time // of its arrival
+	backend     string
+	tenant      string
+	interrupted bool // the backend closed the connection before the end of the response
 }
 
 // request is a client's request with what came of it.
