--- a/internal/soak/batch_test.go
+++ b/internal/soak/batch_test.go
@@ -11,6 +11,7 @@
 	"sync"
 	"time"
 
+	"nickelline/internal/pause"
 	"nickelline/internal/standin"
 )
 
@@ -72,7 +73,7 @@
 
 // run submits jobs until submitting ends. The jobs are read until they are complete or the context ends.
 func (s *submitter) run(ctx, submitting context.Context) {
-	for wait(submitting, s.between(0, 2*jobPause)) {
+	for pause.For(submitting, s.between(0, 2*jobPause)) {
 		j := s.newJob()
 		s.jobs = append(s.jobs, j)
 		s.running.Go(func() { s.follow(ctx, j) })
@@ -130,7 +131,7 @@
 		return
 	}
 	acceptedAt := time.Now()
-	for !j.complete && wait(ctx, s.between(0, 2*readPause)) {
+	for !j.complete && pause.For(ctx, s.between(0, 2*readPause)) {
 		s.readPage(ctx, j, acceptedAt)
 	}
 }
@@ -154,7 +155,7 @@
 		default:
 			j.unclear = true
 		}
-		if !wait(ctx, s.between(0, 2*readPause)) {
+		if !pause.For(ctx, s.between(0, 2*readPause)) {
 			return false
 		}
 	}
--- a/internal/soak/client_test.go
+++ b/internal/soak/client_test.go
@@ -13,6 +13,7 @@
 	"strings"
 	"time"
 
+	"nickelline/internal/pause"
 	"nickelline/internal/standin"
 )
 
@@ -77,7 +78,7 @@
 // run sends requests until the context ends.
 func (c *client) run(ctx context.Context) {
 	defer c.disconnect()
-	for wait(ctx, between(c.random, 0, 2*c.pause())) {
+	for pause.For(ctx, between(c.random, 0, 2*c.pause())) {
 		if c.connection == nil && !c.connect() {
 			continue
 		}
--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"sync"
 	"time"
+
+	"nickelline/internal/pause"
 )
 
 const (
@@ -37,8 +39,8 @@
 
 // run makes faults for a time, and returns when all processes run again.
 func (f *faults) run(ctx context.Context, d time.Duration) {
-	pause := meanPause * processesPerFault / time.Duration(len(f.tier.processes))
-	for began := time.Now(); time.Since(began) < d && wait(ctx, f.between(0, 2*pause)); {
+	interval := meanPause * processesPerFault / time.Duration(len(f.tier.processes))
+	for began := time.Now(); time.Since(began) < d && pause.For(ctx, f.between(0, 2*interval)); {
 		if f.number(allOfARoleOneIn) == 0 {
 			f.killRole()
 			continue
@@ -119,7 +121,7 @@
 	default:
 		for range 1 + f.number(maxReloads) {
 			p.reload()
-			wait(ctx, f.between(0, 2*reloadPause))
+			pause.For(ctx, f.between(0, 2*reloadPause))
 		}
 	}
 }
@@ -129,35 +131,35 @@
 	p.terminate()
 	switch f.number(6) {
 	case 0:
-		wait(ctx, f.between(0, secondSignalPause))
+		pause.For(ctx, f.between(0, secondSignalPause))
 		p.terminate()
 	case 1:
-		wait(ctx, f.between(0, secondSignalPause))
+		pause.For(ctx, f.between(0, secondSignalPause))
 		p.reload()
 	case 2:
-		wait(ctx, f.between(0, 3*secondSignalPause))
+		pause.For(ctx, f.between(0, 3*secondSignalPause))
 		p.kill()
 	case 3:
 		p.freeze()
-		wait(ctx, f.between(0, maxFreeze/2))
+		pause.For(ctx, f.between(0, maxFreeze/2))
 		p.thaw()
 	}
 	p.awaitEnd(gracePeriod + endSlack + maxFreeze/2)
-	wait(ctx, f.between(0, maxDown))
+	pause.For(ctx, f.between(0, maxDown))
 	p.start()
 }
 
 func (f *faults) killAndStart(ctx context.Context, p *process, down time.Duration) {
 	p.kill()
 	p.awaitEnd(gracePeriod)
-	wait(ctx, down)
+	pause.For(ctx, down)
 	p.start()
 }
 
 // freeze stops a process for a while, at times with SIGHUP or a restart meanwhile.
 func (f *faults) freeze(ctx context.Context, p *process) {
 	p.freeze()
-	wait(ctx, f.between(0, maxFreeze))
+	pause.For(ctx, f.between(0, maxFreeze))
 	if f.number(4) == 0 {
 		p.reload()
 	}
--- a/internal/soak/operator_test.go
+++ b/internal/soak/operator_test.go
@@ -11,6 +11,8 @@
 	"sync"
 	"testing"
 	"time"
+
+	"nickelline/internal/pause"
 )
 
 const (
@@ -62,7 +64,7 @@
 
 // run changes and reads the configuration until changing ends. The last change is sent until it is acknowledged.
 func (o *operator) run(ctx, changing context.Context) {
-	for wait(changing, between(o.random, 0, 2*changePause)) {
+	for pause.For(changing, between(o.random, 0, 2*changePause)) {
 		o.change(ctx)
 		o.read(ctx, o.anyControl())
 	}
@@ -93,7 +95,7 @@
 			o.record.violation("CONFIG: version %d, built on %d, was refused with %d: %s", o.version, former, status, reason)
 			return false
 		}
-		if !wait(ctx, between(o.random, pollPause, 4*pollPause)) {
+		if !pause.For(ctx, between(o.random, pollPause, 4*pollPause)) {
 			return false
 		}
 	}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -11,6 +11,8 @@
 	"sync"
 	"testing"
 	"time"
+
+	"nickelline/internal/pause"
 )
 
 var (
@@ -96,7 +98,7 @@
 	newFaults(tier, record, newRandom(seed, "faults")).run(ctx, *duration)
 	stopSubmitting()
 	stopChanges()
-	wait(ctx, settleTime)
+	pause.For(ctx, settleTime)
 	verdict := newVerdict(t, tier, record, backends)
 	verdict.checkServing(ctx)
 	verdict.checkConfiguration(ctx, operator)
@@ -117,18 +119,6 @@
 	return rand.New(rand.NewChaCha8(key))
 }
 
-// wait waits for a time, and reports false if the context ended before.
-func wait(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 // between returns a random time between two times.
 func between(random *rand.Rand, low, high time.Duration) time.Duration {
 	return low + time.Duration(random.Int64N(int64(high-low)))
--- a/internal/soak/tier_test.go
+++ b/internal/soak/tier_test.go
@@ -9,6 +9,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"nickelline/internal/pause"
 )
 
 const (
@@ -204,7 +206,7 @@
 	deadline := time.Now().Add(startTimeout)
 	for i := range *proxies {
 		for !isReady(tier.layout.readiness(i)) {
-			if time.Now().After(deadline) || !wait(ctx, pollPause) {
+			if time.Now().After(deadline) || !pause.For(ctx, pollPause) {
 				t.Fatalf("proxy-%d is not ready %v after the start", i, startTimeout)
 			}
 		}
--- a/internal/soak/verdict_test.go
+++ b/internal/soak/verdict_test.go
@@ -6,6 +6,8 @@
 	"slices"
 	"testing"
 	"time"
+
+	"nickelline/internal/pause"
 )
 
 const maxReported = 40 // violations of a run
@@ -36,7 +38,7 @@
 	for _, p := range v.tier.ofRole(roleProxy) {
 		deadline := time.Now().Add(recovery)
 		for !isReady(v.tier.layout.readiness(p.index)) {
-			if time.Now().After(deadline) || !wait(ctx, pollPause) {
+			if time.Now().After(deadline) || !pause.For(ctx, pollPause) {
 				v.record.violation("RECOVER: %s is not ready %v after the last fault", p.name, settleTime+recovery)
 				break
 			}
@@ -53,7 +55,7 @@
 		got := 0
 		for got < want && time.Now().Before(deadline) {
 			got = o.read(ctx, p.index)
-			wait(ctx, pollPause)
+			pause.For(ctx, pollPause)
 		}
 		if got < want || got > o.version {
 			v.record.violation("LOST: %s shows version %d, want %d to %d", p.name, got, want, o.version)
