control: a process that is terminated right after its start does not panic

The rest of the stop, among it the close of the replica's log, was skipped.

Cause: api.stop shut the server down and closed the listener. Where the server was about to serve, the HTTP library ignores the shutdown, then finds the listener closed, and panics.

Change: run and stop know of each other. A server that never ran has its listener closed; one that has begun to run is closed by itself, again and again until run has returned, and its listener is not touched before. TestServerIsStoppedWhileItStarts panicked before and passes now, 400 starts with growing pauses, with the race detector too. The metrics server has the same library but is never stopped in a process.

--- a/internal/control/api.go
+++ b/internal/control/api.go
@@ -29,6 +29,8 @@
 	writeTimeout = 5 * time.Second
 	// shutdownTimeout is how long the server waits for calls in progress when it stops.
 	shutdownTimeout = time.Second
+	// stopInterval is the time between two attempts to stop a server that is about to serve.
+	stopInterval = time.Millisecond
 )
 
 // api serves the operator's calls over HTTP.
@@ -39,6 +41,10 @@
 	otherNode func() (netip.AddrPort, bool)
 	server    *server.Hertz
 	listener  net.Listener
+
+	mutex   sync.Mutex
+	stopped bool
+	ended   chan struct{} // closed when run has returned; nil before run
 }
 
 // disableLibraryLog keeps the HTTP library's own messages out of the log.
@@ -94,16 +100,56 @@
 	return listener, nil
 }
 
-// run serves until stop is called.
-func (a *api) run() error { return a.server.Run() }
+// run serves until stop is called. It returns at once if stop was called before.
+func (a *api) run() error {
+	if !a.beginRun() {
+		return nil
+	}
+	defer close(a.ended)
+	return a.server.Run()
+}
+
+// beginRun records that run was called, and reports whether it may serve.
+func (a *api) beginRun() bool {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	if a.stopped {
+		return false
+	}
+	a.ended = make(chan struct{})
+	return true
+}
 
-// stop waits up to shutdownTimeout for the calls in progress, and closes the listener. The server itself does not close the
-// listener if it never ran.
+// stop waits up to shutdownTimeout for the calls in progress, and closes the listener.
 func (a *api) stop() {
+	a.mutex.Lock()
+	a.stopped = true
+	ended := a.ended
+	a.mutex.Unlock()
+	if ended == nil {
+		_ = a.listener.Close()
+		return
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
 	defer cancel()
 	_ = a.server.Shutdown(ctx) // callers repeat interrupted calls at other nodes
-	_ = a.listener.Close()     // closed already if the server ran
+	a.closeUntilEnded(ended)
+	_ = a.listener.Close() // closed already unless the server failed
+}
+
+// closeUntilEnded closes the server until run has returned: a server that was about to serve when it was shut down serves
+// nevertheless. The listener must not be closed instead, since the server panics if it cannot accept connections.
+func (a *api) closeUntilEnded(ended <-chan struct{}) {
+	ticker := time.NewTicker(stopInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ended:
+			return
+		case <-ticker.C:
+			_ = a.server.Close() // fails until the server serves
+		}
+	}
 }
 
 // isServerClosed reports whether the error of a server means that it was stopped.
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"net/netip"
+	"runtime"
 	"strings"
 	"testing"
 
@@ -107,6 +108,29 @@
 	}
 }
 
+// TestServerIsStoppedWhileItStarts guards against a process that panics when it is terminated right after its start.
+func TestServerIsStoppedWhileItStarts(t *testing.T) {
+	for yields := range 400 {
+		listener, err := listen(t.Context(), netip.MustParseAddrPort("127.0.0.1:0"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		a := newAPI(listener, nil, nil, nil)
+		ended := make(chan error, 1)
+		go func() { ended <- a.run() }()
+		for range yields {
+			runtime.Gosched()
+		}
+		a.stop()
+		if err := <-ended; !isServerClosed(err) {
+			t.Fatalf("run: got %v, want the error of a stopped server or none", err)
+		}
+		if err := listener.Close(); err == nil {
+			t.Fatal("listener after stop: got an open one, want it closed")
+		}
+	}
+}
+
 // A configuration of one megabyte is sent to a node that is not the head.
 func TestLargeChangeOverTheChain(t *testing.T) {
 	s := newControlSystem(t)
