--- a/decide/settings.go
+++ b/decide/settings.go
@@ -52,8 +52,8 @@
 // Tenant is a customer with a guaranteed share.
 type Tenant struct {
 	Name  string
-	Quota float64 // requests per second over all nodes
-	Share float64
+	Quota float64 // requests per second over all nodes, within its share
+	Share float64 // of the service; the module does not use it
 }
 
 // Settings is the configuration that a node gets when it starts.
@@ -111,9 +111,19 @@
 	Whole, WorstWindow, WorstClass, WorstTenant float64
 }
 
-// Penalties are the points deducted from the overall score per unit of what each field names.
+// Penalties are the points deducted from the overall score, each times the quantity that its comment names.
 type Penalties struct {
-	Connection, Handshake, CrossZone, Waste, LateFail, Probe, Message, Moves, Origin, ListLines, Fleet float64
+	Connection float64 // mean open connections to a backend, in hundreds
+	Handshake  float64 // new connections per first try
+	CrossZone  float64 // attempts that cross zones per first try
+	Waste      float64 // backends' work that brought no answer, as a share of the offered work
+	LateFail   float64 // value of requests that failed after their target
+	Probe      float64 // probes per first try
+	Message    float64 // bytes of messages between nodes per first try, in units of 256
+	Moves      float64 // moves per first try
+	Origin     float64 // fetches from the origin per first try
+	ListLines  float64 // lines of the list of backends sent per first try, in hundreds
+	Fleet      float64 // not in use
 }
 
 // ReportVia is the way load reports reach a node.
