soak: requests with keys that are taken away

A rotating tenant loses a key with every third change, and clients go on using former keys. A request that is executed though its key was taken away revocationMs before it was sent is a violation, at frozen processes that wake too.

--- a/internal/soak/client_test.go
+++ b/internal/soak/client_test.go
@@ -25,6 +25,9 @@
 	hotRate             = 40.0 // requests a second, and the burst
 	hotClients          = 4
 
+	rotatingClients = 4
+	formerKeys      = 3 // keys before the current one that clients still use
+
 	// Clients of the hot tenant send little for a while, so that all buckets fill, and then far more than its limit.
 	hotPeriod    = 8 * time.Second
 	hotQuietTime = 4 * time.Second
@@ -47,18 +50,22 @@
 type client struct {
 	tier       *tier
 	record     *record
+	operator   *operator
 	random     *rand.Rand
-	key        string
+	key        string // empty for a client that uses rotating keys
 	startedAt  time.Time
 	process    *process
 	connection net.Conn
 	reader     *bufio.Reader
 }
 
-func newClient(tier *tier, record *record, random *rand.Rand, i int) *client {
-	c := &client{tier: tier, record: record, random: random, key: keyCalm, startedAt: time.Now()}
-	if i < hotClients {
+func newClient(tier *tier, record *record, operator *operator, random *rand.Rand, i int) *client {
+	c := &client{tier: tier, record: record, operator: operator, random: random, key: keyCalm, startedAt: time.Now()}
+	switch {
+	case i < hotClients:
 		c.key = keyHot
+	case i < hotClients+rotatingClients:
+		c.key = ""
 	}
 	return c
 }
@@ -66,7 +73,7 @@
 // pause returns the mean time until the next request.
 func (c *client) pause() time.Duration {
 	switch {
-	case c.key == keyCalm:
+	case c.key != keyHot:
 		return calmPause
 	case time.Since(c.startedAt)%hotPeriod < hotQuietTime:
 		return quietPause
@@ -110,9 +117,13 @@
 	q := &request{
 		attempt: fmt.Sprintf("%016x", c.random.Uint64()),
 		route:   []string{routeCard, routeCard, routeOrder, routeChat}[c.random.IntN(4)],
+		key:     noRotatingKey,
 		process: c.process,
 		sentAt:  time.Now(),
 	}
+	if c.key == "" {
+		q.key = max(0, c.operator.rotatingKey()-c.random.IntN(formerKeys+1))
+	}
 	_ = c.connection.SetDeadline(q.sentAt.Add(clientTimeout)) // a failure shows when the request is written
 	target := fmt.Sprintf("/%s/%s", q.route, q.attempt[:4])
 	body := strings.Repeat(q.attempt, 1+c.random.IntN(20))
@@ -131,8 +142,12 @@
 }
 
 func (c *client) write(q *request, target, body string, tokens int) error {
+	key := c.key
+	if q.key != noRotatingKey {
+		key = rotatingKeyText(q.key)
+	}
 	var text strings.Builder
-	fmt.Fprintf(&text, "POST %s HTTP/1.1\r\nHost: %s\r\nAuthorization: Bearer %s\r\n", target, host, c.key)
+	fmt.Fprintf(&text, "POST %s HTTP/1.1\r\nHost: %s\r\nAuthorization: Bearer %s\r\n", target, host, key)
 	fmt.Fprintf(&text, "%s: %s\r\n%s: %d\r\n", headerAttemptID, q.attempt, headerDeadline, routeTimeout.Milliseconds())
 	if q.route == routeChat {
 		fmt.Fprintf(&text, "%s: m\r\n%s: 10,%d\r\n%s: %s:10\r\n", headerModel, headerTokenUsage, tokens, headerPromptPrefix, q.attempt)
--- a/internal/soak/operator_test.go
+++ b/internal/soak/operator_test.go
@@ -19,6 +19,7 @@
 	callTimeout      = time.Second
 	maxIdleRoutes    = 3
 	changePause      = time.Second // mean time between two changes
+	keyRotatedOneIn  = 3           // changes that take a key away
 	retentionS       = 600
 	maxQueuedTokens  = 720_000
 	completionTarget = 12 * time.Second
@@ -27,6 +28,7 @@
 // acknowledgement is a version that the tier has acknowledged.
 type acknowledgement struct {
 	version int
+	key     int // number of the rotating key in this version
 	at      time.Time
 }
 
@@ -42,6 +44,7 @@
 	timeoutMs  int
 
 	mutex        sync.Mutex
+	key          int // number of the rotating key in the latest order
 	acknowledged []acknowledgement
 }
 
@@ -79,6 +82,9 @@
 	if o.random.IntN(2) == 0 {
 		o.timeoutMs = int(routeTimeout.Milliseconds()) + o.random.IntN(100)
 	}
+	if o.random.IntN(keyRotatedOneIn) == 0 {
+		o.rotateKey()
+	}
 	o.idleRoutes = append(o.idleRoutes, o.version)
 	o.idleRoutes = o.idleRoutes[max(0, len(o.idleRoutes)-maxIdleRoutes):]
 	body, err := json.Marshal(o.configuration())
@@ -104,9 +110,38 @@
 func (o *operator) acknowledge() {
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
-	o.acknowledged = append(o.acknowledged, acknowledgement{version: o.version, at: time.Now()})
+	o.acknowledged = append(o.acknowledged, acknowledgement{version: o.version, key: o.key, at: time.Now()})
+}
+
+// rotateKey gives the rotating tenant another key and takes the former one away.
+func (o *operator) rotateKey() {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	o.key++
+}
+
+// rotatingKey returns the number of the key in the latest order.
+func (o *operator) rotatingKey() int {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	return o.key
 }
 
+// revokedAt returns when the loss of a rotating key was acknowledged, and false if it was not.
+func (o *operator) revokedAt(key int) (time.Time, bool) {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	for _, a := range o.acknowledged {
+		if a.key > key {
+			return a.at, true
+		}
+	}
+	return time.Time{}, false
+}
+
+// rotatingKeyText returns the rotating key with a number.
+func rotatingKeyText(number int) string { return fmt.Sprintf("rotating-key-%d", number) }
+
 // acknowledgedBefore returns the newest version that was acknowledged before a time.
 func (o *operator) acknowledgedBefore(at time.Time) int {
 	o.mutex.Lock()
@@ -182,6 +217,7 @@
 		"limits": object{"maxHeaderBytes": 16_384, "maxBodyBytes": 4_194_304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15_000},
 		"tenants": []object{
 			{"name": tenantCalm, "apiKeys": []string{keyCalm}, "priority": 0, "ratePerS": 0, "burstSize": 0},
+			{"name": "rotating", "apiKeys": []string{rotatingKeyText(o.rotatingKey())}, "priority": 0, "ratePerS": 0, "burstSize": 0},
 			{"name": tenantHot, "apiKeys": []string{keyHot}, "priority": 0, "ratePerS": hotRate, "burstSize": hotRate},
 		},
 	}
--- a/internal/soak/record_test.go
+++ b/internal/soak/record_test.go
@@ -27,10 +27,14 @@
 	interrupted bool // the backend closed the connection before the end of the response
 }
 
+// noRotatingKey is the number of the key of requests whose key is never taken away.
+const noRotatingKey = -1
+
 // request is a client's request with what came of it.
 type request struct {
 	attempt  string
 	route    string
+	key      int // number of the rotating key; noRotatingKey for requests with another key
 	process  *process
 	sentAt   time.Time
 	endedAt  time.Time
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -84,7 +84,7 @@
 
 	var users sync.WaitGroup
 	for i := range *clients {
-		c := newClient(tier, record, newRandom(seed, fmt.Sprintf("client %d", i)), i)
+		c := newClient(tier, record, operator, newRandom(seed, fmt.Sprintf("client %d", i)), i)
 		users.Go(func() { c.run(ctx) })
 	}
 	submitter := newSubmitter(tier, record, newRandom(seed, "batch"))
@@ -106,7 +106,7 @@
 	cancel()
 	users.Wait()
 	tier.terminateAll()
-	verdict.checkAll(submitter)
+	verdict.checkAll(submitter, operator)
 }
 
 // newRandom returns the random numbers of one part of a run, so that the parts do not depend on each other.
--- a/internal/soak/tier_test.go
+++ b/internal/soak/tier_test.go
@@ -25,6 +25,7 @@
 	gracePeriod    = 8 * time.Second
 	configApply    = 2 * time.Second
 	recovery       = 12 * time.Second
+	revocation     = 5 * time.Second
 	quotaWindow    = 5 * time.Second
 	quotaOvershoot = 0.1
 	quotaAllowance = 20
--- a/internal/soak/verdict_test.go
+++ b/internal/soak/verdict_test.go
@@ -18,6 +18,7 @@
 //   - requests that are not idempotent were executed once at most (TWICE), others maxAttempts times (BUDGET)
 //   - a process that was not killed or frozen has answered each request that was executed (LOST), and each other one in time
 //   - no proper request was denied (DENIED)
+//   - no request was executed whose key was taken away revocationMs before it was sent (CONFIG)
 //   - no tenant got more than its limit in any window (QUOTA)
 //   - batch jobs that were refused have not run (REFUSED), and accepted ones are complete (LOST)
 //   - the last acknowledged configuration is in force (LOST)
@@ -64,7 +65,7 @@
 }
 
 // checkAll checks the record and reports what was found.
-func (v *verdict) checkAll(s *submitter) {
+func (v *verdict) checkAll(s *submitter, o *operator) {
 	v.backends.stop()
 	v.record.mutex.Lock()
 	requests := v.record.requests
@@ -73,6 +74,7 @@
 	for _, q := range requests {
 		byStatus[q.status]++
 		v.checkRequest(q)
+		v.checkKey(q, o)
 	}
 	v.checkQuota(requests)
 	v.checkJobs(s)
@@ -106,6 +108,7 @@
 		v.record.violation("REFUSED: %s (%s) got %d from %s and was executed: %+v", q.attempt, q.route, q.status, q.process.name, executions)
 	case len(executions) > limit:
 		v.record.violation("TWICE or BUDGET: %s (%s) was executed %d times, want %d at most", q.attempt, q.route, len(executions), limit)
+	case q.status == http.StatusUnauthorized && q.key != noRotatingKey:
 	case q.status >= 400 && q.status < 500 && !promisesNotExecuted(q.status):
 		v.record.violation("DENIED: %s (%s) got %d from %s", q.attempt, q.route, q.status, q.process.name)
 	}
@@ -119,6 +122,16 @@
 	}
 }
 
+// checkKey checks that a request was not executed with a key that had been taken away.
+func (v *verdict) checkKey(q *request, o *operator) {
+	if q.key == noRotatingKey || len(v.record.executions[q.attempt]) == 0 {
+		return
+	}
+	if revoked, found := o.revokedAt(q.key); found && q.sentAt.Sub(revoked) > revocation {
+		v.record.violation("CONFIG: %s was executed by way of %s, %v after its key was taken away", q.attempt, q.process.name, q.sentAt.Sub(revoked))
+	}
+}
+
 // brokenOff reports whether backends have interrupted the response at each attempt that was allowed.
 func brokenOff(executions []execution, limit int) bool {
 	return len(executions) == limit && !slices.ContainsFunc(executions, func(e execution) bool { return !e.interrupted })
