--- a/internal/soak/operator_test.go
+++ b/internal/soak/operator_test.go
@@ -61,6 +61,9 @@
 	ctx, cancel := context.WithTimeout(ctx, startTimeout)
 	defer cancel()
 	if !o.change(ctx) {
+		for _, p := range o.tier.ofRole(roleControl) {
+			p.dumpStacks(p.ended)
+		}
 		t.Fatalf("the first configuration was not acknowledged within %v", startTimeout)
 	}
 }
--- a/internal/soak/process_test.go
+++ b/internal/soak/process_test.go
@@ -16,6 +16,8 @@
 const (
 	// endSlack is how much longer than the grace period a process may take to end, on a busy machine.
 	endSlack = time.Second
+	// dumpTime is how long a process may take to log its stacks.
+	dumpTime = time.Second
 	// loadTime is how long the system may take to load a program and initialize its packages. Before that the program cannot
 	// catch signals, and has begun nothing.
 	loadTime = 100 * time.Millisecond
@@ -167,7 +169,7 @@
 }
 
 // awaitEnd waits until the process has ended after SIGTERM or SIGKILL, and records it as a violation if that takes longer
-// than the given time; then it kills the process.
+// than the given time; then it lets the process log the stacks of its goroutines and kills it.
 func (p *process) awaitEnd(limit time.Duration) {
 	p.mutex.Lock()
 	ended := p.ended
@@ -183,10 +185,25 @@
 	case <-timer.C:
 	}
 	p.record.violation("%s still runs %v after it was told to end", p.name, limit)
+	p.dumpStacks(ended)
 	p.kill()
 	<-ended
 }
 
+// dumpStacks makes the process log the stacks of its goroutines, which also ends it.
+func (p *process) dumpStacks(ended <-chan struct{}) {
+	p.mutex.Lock()
+	p.killed = true
+	p.signal(syscall.SIGQUIT)
+	p.mutex.Unlock()
+	timer := time.NewTimer(dumpTime)
+	defer timer.Stop()
+	select {
+	case <-ended:
+	case <-timer.C:
+	}
+}
+
 // wasAbrupt reports whether the process was killed or frozen since a time.
 func (p *process) wasAbrupt(since time.Time) bool {
 	p.mutex.Lock()
