forward: a request may have run once its head is written

Cause: the whole request was written before anything was read, and any failed write counted as NotSent. A backend needs only the head to run a request, and its answer, which had arrived before the reset, was not read.

Change: NotSent only while the head is incomplete. What the connection doesn't take at once is written by a goroutine while the response is read. After an early response the rest of the body is written before the connection is reused or closed. The outcome now says what a backend can have seen, which is what retries, refunds and promises rest on.

--- a/internal/forward/body.go
+++ b/internal/forward/body.go
@@ -94,7 +94,7 @@
 		return
 	}
 	b.done = true
-	b.roundTrip.release(false)
+	b.roundTrip.closeConn()
 	b.events.release()
 }
 
--- a/internal/forward/encode.go
+++ b/internal/forward/encode.go
@@ -74,6 +74,7 @@
 		return err
 	}
 	b.WriteString(lineEnd)
+	b.Grow(len(r.Body))
 	b.Write(r.Body)
 	return nil
 }
--- a/internal/forward/failure.go
+++ b/internal/forward/failure.go
@@ -23,11 +23,11 @@
 
 // The outcomes of failed attempts.
 const (
-	// NotSent means that the request was not written completely, so it has not run.
+	// NotSent means that the head of the request was not written completely, so the request has not run.
 	NotSent Outcome = iota
 	// NotExecuted means that the backend, or another one at its address, reported that it did not run the request.
 	NotExecuted
-	// MayHaveRun means that the request was sent, and it is unknown whether it ran.
+	// MayHaveRun means that the request was sent, at least its head, and it is unknown whether it ran.
 	MayHaveRun
 )
 
--- a/internal/forward/roundtrip.go
+++ b/internal/forward/roundtrip.go
@@ -25,10 +25,14 @@
 	deadline time.Time
 	// stopAfterFunc stops watching the context. It reports whether the context had not ended.
 	stopAfterFunc func() bool
+	// remaining writes the rest of the request; nil if the connection accepted all of it at once.
+	remaining *remainingWrite
 }
 
 // send writes the request, unless the context ended, the backend was closed or the deadline passed while the connection was
-// being acquired.
+// being acquired. It returns a Failure only if the head of the request was not written completely. Once the head is written,
+// the backend may run the request and respond to it, however much of the body follows: a failure to write the body shows when
+// the response is read.
 func (rt *roundTrip) send(r *Request) *Failure {
 	now := time.Now()
 	switch {
@@ -40,16 +44,23 @@
 		return rt.releaseUnsent(errDeadlinePassed, true)
 	}
 	buffer := getBuffer()
-	defer putBuffer(buffer)
 	if err := appendRequest(buffer, rt.backendID, r, now); err != nil {
+		putBuffer(buffer)
 		return rt.releaseUnsent(err, true)
 	}
 	rt.history = rt.conn.RecordRequest(now)
 	rt.conn.SetDeadline(r.Deadline)
 	rt.stopAfterFunc = context.AfterFunc(rt.ctx, func() { rt.conn.SetDeadline(pastDeadline) })
-	if _, err := rt.conn.Write(buffer.Bytes()); err != nil {
-		rt.release(false)
-		return rt.failure(NotSent, err) // at least the last byte was not written, so the request has not run
+	headLength := buffer.Len() - len(r.Body)
+	written, err := writeHead(rt.conn, buffer.Bytes(), headLength)
+	if err == nil && written < buffer.Len() {
+		rt.remaining = startRemainingWrite(rt.conn, buffer, written)
+		return nil
+	}
+	putBuffer(buffer)
+	if written < headLength {
+		rt.closeConn()
+		return rt.failure(NotSent, err)
 	}
 	return nil
 }
@@ -124,19 +135,41 @@
 func (rt *roundTrip) abort(err error) *Failure {
 	f := rt.failure(MayHaveRun, err)
 	f.TimedOut = !f.Cancelled && !time.Now().Before(rt.deadline)
-	rt.release(false)
+	rt.closeConn()
 	if f.TimedOut {
 		rt.client.pool.CloseUnresponsive(rt.backend, rt.startedAt)
 	}
 	return f
 }
 
-// release gives the connection back. The connection is kept only if nothing unread is buffered and the context has not ended,
-// because the end of the context changes the deadline of the connection.
-func (rt *roundTrip) release(keep bool) {
+// closeConn closes the connection, which ends a write of the request that is still in progress.
+func (rt *roundTrip) closeConn() {
+	rt.stopAfterFunc()
+	rt.client.pool.Release(rt.conn, false)
+}
+
+// release gives the connection back after the whole response was read. The connection is kept only if the backend keeps it open,
+// nothing unread is buffered, and the context has not ended, because the end of the context changes the deadline of the
+// connection. A connection on which the request is still being written is given back once that has ended, so that the backend
+// gets the whole body, and no other bytes in its place.
+func (rt *roundTrip) release(reusable bool) {
 	active := rt.stopAfterFunc()
-	keep = keep && active && rt.conn.Reader.Buffered() == 0
-	rt.client.pool.Release(rt.conn, keep)
+	keep := reusable && active && rt.conn.Reader.Buffered() == 0
+	switch {
+	case rt.remaining == nil:
+		rt.client.pool.Release(rt.conn, keep)
+	case rt.remaining.finished():
+		rt.releaseAfterWrite(keep)
+	default:
+		go rt.releaseAfterWrite(keep)
+	}
+}
+
+// releaseAfterWrite gives the connection back once the request was written. The connection is kept only if the whole request
+// was written.
+func (rt *roundTrip) releaseAfterWrite(keep bool) {
+	err := rt.remaining.wait()
+	rt.client.pool.Release(rt.conn, keep && err == nil)
 }
 
 // readHead reads the head of the final response, and skips interim (1xx) responses.
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -69,6 +69,8 @@
 	discovery.Backend
 	requests chan received
 	closed   chan struct{} // one value for each connection that the proxy has closed
+	// leavesBody means that the backend responds without having read the body of a request.
+	leavesBody bool
 }
 
 // reply writes the response to a request. It returns false if the backend shall close the connection.
@@ -113,13 +115,19 @@
 var backendNumber atomic.Int64
 
 func startBackend(t testing.TB, respond reply) *backend {
+	t.Helper()
+	return (&backend{}).start(t, respond)
+}
+
+// start makes the backend listen.
+func (b *backend) start(t testing.TB, respond reply) *backend {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { listener.Close() })
-	b := &backend{requests: make(chan received, 100), closed: make(chan struct{}, 100)}
+	b.requests, b.closed = make(chan received, 100), make(chan struct{}, 100)
 	b.ID, b.Service = fmt.Sprintf("i-%d", backendNumber.Add(1)), "s"
 	b.Address = listener.Addr().(*net.TCPAddr).AddrPort()
 	go func() {
@@ -143,8 +151,11 @@
 			b.closed <- struct{}{}
 			return
 		}
-		body, _ := io.ReadAll(r.Body)
-		request := received{r, string(body)}
+		request := received{Request: r}
+		if !b.leavesBody {
+			body, _ := io.ReadAll(r.Body)
+			request.body = string(body)
+		}
 		b.requests <- request
 		if !respond(b, request, conn) {
 			return
--- a/internal/upstream/doc.go
+++ b/internal/upstream/doc.go
@@ -25,6 +25,6 @@
 //   - pool.go: the pool, and the sweep of idle connections
 //   - backends.go: the list of backends
 //   - acquire.go: taking, dialing and giving back a connection
-//   - conn.go, dial.go: one connection, and how it is dialed
+//   - conn.go, write.go, dial.go: one connection, writing without waiting, and how it is dialed
 //   - idlehistory.go: how long connections may be idle, learned from those that broke
 package upstream
