--- a/cmd/nickelline/node.go
+++ b/cmd/nickelline/node.go
@@ -148,7 +148,10 @@
 	b.gossip.Certify(gossip.Backends, gossip.Version{Sequence: sequence}, asOf)
 }
 
-func (b backendsTopic) ProofAge() time.Duration { return b.gossip.ProofAge(gossip.Backends) }
+func (b backendsTopic) ProofAge() time.Duration {
+	_, age, _ := b.gossip.CurrentWithProof(gossip.Backends)
+	return age
+}
 
 func (b backendsTopic) Pull(ctx context.Context, node netip.AddrPort) error {
 	return b.gossip.Exchange(ctx, node)
--- a/cmd/nickelline/proxy.go
+++ b/cmd/nickelline/proxy.go
@@ -68,7 +68,6 @@
 func (n *proxyNode) proxyOptions() proxy.Options {
 	return proxy.Options{
 		Configuration:  n.state.Configuration,
-		ProofAge:       n.state.ConfigurationAge,
 		MaxProofAge:    maxProofAge(n.settings),
 		BackendsKnown:  func() bool { return n.state.Backends() != nil },
 		Selector:       proxy.PoolSelector(n.state.Pool),
--- a/cmd/nickelline/store.go
+++ b/cmd/nickelline/store.go
@@ -137,11 +137,14 @@
 	return slices.ContainsFunc(table.Partitions, func(p placement.Partition) bool { return p.View.Has(replica) })
 }
 
-// provenConfiguration returns a function that returns the configuration and whether it is proven to be current: the proof is
-// at most maxAge old, or maxAge is 0.
+// provenConfiguration returns a function that returns the configuration and whether it is proven to be current: the proof of
+// that version is at most maxAge old, or maxAge is 0. Before the first configuration it returns nil and false.
 func provenConfiguration(state *nodestate.State, maxAge time.Duration) func() (*configuration.Snapshot, bool) {
 	return func() (*configuration.Snapshot, bool) {
-		proven := maxAge == 0 || state.ConfigurationAge() <= maxAge
-		return state.Configuration(), proven
+		current := state.Configuration()
+		if current == nil {
+			return nil, false
+		}
+		return current.Snapshot, maxAge == 0 || current.ProofAge() <= maxAge
 	}
 }
--- a/cmd/nickelline/store_test.go
+++ b/cmd/nickelline/store_test.go
@@ -23,7 +23,7 @@
 	s.subscribers[topic] = notify
 }
 
-func (s *fakeSource) ProofAge(gossip.Topic) time.Duration { return 0 }
+func (s *fakeSource) ProofAge(gossip.Topic, gossip.Version) time.Duration { return 0 }
 
 func (s *fakeSource) place(t *testing.T, version uint64, members ...view.ReplicaID) {
 	t.Helper()
@@ -80,3 +80,13 @@
 		}
 	})
 }
+
+// A store must not run items before it has a configuration, also where the proof of the configuration is not checked.
+func TestNoConfigurationIsNotProven(t *testing.T) {
+	state := nodestate.New(nodestate.Options{Node: "n", Zone: "z", Source: &fakeSource{subscribers: map[gossip.Topic]func(gossip.Value){}}, Log: zap.NewNop()})
+	for _, maxAge := range []time.Duration{0, time.Second} {
+		if snapshot, proven := provenConfiguration(state, maxAge)(); snapshot != nil || proven {
+			t.Errorf("before the first configuration, with maximum age %v: got %v, proven %v, want nil, not proven", maxAge, snapshot, proven)
+		}
+	}
+}
--- a/internal/configuration/snapshot.go
+++ b/internal/configuration/snapshot.go
@@ -53,6 +53,13 @@
 	hasTenants     bool
 }
 
+// Current is the configuration that a process uses, with the proof that it is the newest version.
+type Current struct {
+	*Snapshot
+	// ProofAge returns the age of the latest proof that no newer version than this one existed.
+	ProofAge func() time.Duration
+}
+
 // Limits bound what a client may send, in bytes, and how long it may take or stay idle.
 type Limits struct {
 	MaxHeaderBytes int
--- a/internal/gossip/disseminator_test.go
+++ b/internal/gossip/disseminator_test.go
@@ -301,3 +301,40 @@
 		t.Errorf("time of the next fetch: got %v, want none", due)
 	}
 }
+
+// TestProofCoversNoFormerVersion guards against the proof of a version that has just arrived vouching for the version that the
+// process still uses.
+func TestProofCoversNoFormerVersion(t *testing.T) {
+	const now = time.Minute
+	first, second, third := Version{Sequence: 1}, Version{Sequence: 2}, Version{Sequence: 3}
+	var e entry
+	expect := func(when string, version Version, want time.Duration) {
+		t.Helper()
+		if age := e.ageOf(version, now); age != want {
+			t.Errorf("%s: age of the proof for version %d: got %v, want %v", when, version.Sequence, age, want)
+		}
+	}
+	expect("without a value", first, UnknownAge)
+	e.store(Value{Version: first}, nil)
+	expect("before the first proof", first, UnknownAge)
+	e.certify(first, now-20*time.Second)
+	expect("with a proof", first, 20*time.Second)
+	e.store(Value{Version: second}, nil)
+	expect("after a second version without a proof", second, 20*time.Second)
+	e.certify(second, now-time.Second)
+	expect("after the proof of the second version", first, 20*time.Second)
+	expect("after the proof of the second version", second, time.Second)
+	e.store(Value{Version: third}, nil)
+	e.certify(third, now)
+	expect("after the proof of the third version", first, 20*time.Second)
+	expect("after the proof of the third version", second, time.Second)
+	expect("after the proof of the third version", third, 0)
+	for sequence := uint64(4); sequence < 100; sequence++ {
+		e.store(Value{Version: Version{Sequence: sequence}}, nil)
+		e.certify(Version{Sequence: sequence}, now)
+	}
+	expect("after many versions", second, UnknownAge)
+	if len(e.former) > maxFormerProofs {
+		t.Errorf("proofs of former versions: got %d, want at most %d", len(e.former), maxFormerProofs)
+	}
+}
--- a/internal/gossip/doc.go
+++ b/internal/gossip/doc.go
@@ -28,6 +28,10 @@
 // true where Certify was called is therefore true at every member: the version was the newest at the time that the proof
 // states.
 //
+// A proof vouches for one version. Between the arrival of a newer version and the end of the calls of the subscribers, a process
+// still uses the former version, which the proof of the newer one does not cover; ProofAge therefore takes the version that is
+// used.
+//
 // Nothing is stored on disk.
 //
 // # Files, in reading order
--- a/internal/gossip/entry.go
+++ b/internal/gossip/entry.go
@@ -1,6 +1,13 @@
 package gossip
 
-import "time"
+import (
+	"slices"
+	"time"
+)
+
+// maxFormerProofs is the number of versions before the local one whose proofs are kept. It covers changes that follow each
+// other more quickly than a subscriber applies them.
+const maxFormerProofs = 8
 
 // entry is the state of one topic in this process.
 type entry struct {
@@ -9,6 +16,9 @@
 	history history
 	// proof is the latest proof for the local version.
 	proof proof
+	// former holds the latest proofs for the versions before the local one, at most maxFormerProofs. The process may go on using
+	// such a version until the subscribers have been called with the local one.
+	former []proof
 	// pendingProof is the latest proof for a version that is newer than the local one and has not arrived yet.
 	pendingProof proof
 	fetch        pendingFetch
@@ -29,6 +39,7 @@
 	e.history.extend(steps)
 	e.present = true
 	e.value = v
+	e.keepFormer(e.proof)
 	e.proof = proof{}
 	if e.pendingProof.known && e.pendingProof.version == v.Version {
 		e.proof = e.pendingProof
@@ -52,6 +63,27 @@
 	}
 }
 
+// keepFormer keeps the proof for a version that is being replaced.
+func (e *entry) keepFormer(p proof) {
+	if !p.known {
+		return
+	}
+	if len(e.former) >= maxFormerProofs {
+		e.former = slices.Delete(e.former, 0, 1)
+	}
+	e.former = append(e.former, p)
+}
+
+// ageOf returns the age of the latest proof that no version newer than the given one existed, UnknownAge if there is none. A
+// proof for an older version is such a proof, one for a newer version is not.
+func (e *entry) ageOf(version Version, now time.Duration) time.Duration {
+	age := e.proof.ageFor(version, now)
+	for _, p := range e.former {
+		age = min(age, p.ageFor(version, now))
+	}
+	return age
+}
+
 // age returns the age of the proof for the local version, UnknownAge if there is no proof.
 func (e *entry) age(now time.Duration) time.Duration {
 	if !e.proof.known {
--- a/internal/gossip/proof.go
+++ b/internal/gossip/proof.go
@@ -9,6 +9,14 @@
 	asOf    time.Duration
 }
 
+// ageFor returns the age of the proof if it shows that no version newer than the given one existed, UnknownAge otherwise.
+func (p proof) ageFor(version Version, now time.Duration) time.Duration {
+	if !p.known || p.version.newerThan(version) {
+		return UnknownAge
+	}
+	return max(now-p.asOf, 0)
+}
+
 // newest returns the proof that the arguments describe if it is for a newer version than p, or for the same version at a
 // later time. Otherwise it returns p.
 func (p proof) newest(version Version, asOf time.Duration) proof {
--- a/internal/gossip/service.go
+++ b/internal/gossip/service.go
@@ -78,13 +78,18 @@
 
 // Current returns the newest version that this process has, and whether it has any.
 func (s *Service) Current(topic Topic) (Value, bool) {
-	var value Value
-	var present bool
-	s.driver.Inspect(func(time.Duration) {
+	value, _, present := s.CurrentWithProof(topic)
+	return value, present
+}
+
+// CurrentWithProof returns the newest version that this process has, the age of the proof that this version was the newest
+// (UnknownAge if there is no proof), and whether the process has any version.
+func (s *Service) CurrentWithProof(topic Topic) (value Value, proofAge time.Duration, present bool) {
+	s.driver.Inspect(func(now time.Duration) {
 		e := &s.disseminator.entries[topic]
-		value, present = e.value, e.present
+		value, proofAge, present = e.value, e.age(now), e.present
 	})
-	return value, present
+	return value, proofAge, present
 }
 
 // Subscribe registers a function that is called with the local version, if there is one, and with each newer version.
@@ -101,10 +106,12 @@
 	s.driver.Inspect(func(time.Duration) { s.disseminator.certify(topic, version, s.driver.TimeOf(asOf)) })
 }
 
-// ProofAge returns the age of the proof that the local version was the newest, UnknownAge if there is no proof.
-func (s *Service) ProofAge(topic Topic) time.Duration {
+// ProofAge returns the age of the latest proof that no version of the topic newer than the given one existed, UnknownAge if
+// there is none. The version is one that subscribers were called with; the newest version that has arrived may be newer, since
+// the subscribers are called with it some time after its arrival.
+func (s *Service) ProofAge(topic Topic, version Version) time.Duration {
 	age := UnknownAge
-	s.driver.Inspect(func(now time.Duration) { age = s.disseminator.entries[topic].age(now) })
+	s.driver.Inspect(func(now time.Duration) { age = s.disseminator.entries[topic].ageOf(version, now) })
 	return age
 }
 
--- a/internal/gossip/service_test.go
+++ b/internal/gossip/service_test.go
@@ -34,13 +34,13 @@
 	t.Helper()
 	// The clock is read before the age, so that the age is at least the time since the proof was made.
 	since := time.Since(began)
-	if age := s.ProofAge(Configuration); age < since {
+	if _, age, _ := s.CurrentWithProof(Configuration); age < since {
 		t.Errorf("proof age of the configuration: got %v, want at least %v", age, since)
 	}
 	if _, present := s.Current(Backends); present {
 		t.Error("list of backends, which was never published: got one, want none")
 	}
-	if age := s.ProofAge(Backends); age != UnknownAge {
+	if _, age, _ := s.CurrentWithProof(Backends); age != UnknownAge {
 		t.Errorf("proof age of the list of backends: got %v, want none", age)
 	}
 }
@@ -70,12 +70,12 @@
 	for _, proofAge := range []time.Duration{time.Minute, 0} {
 		began := time.Now().Add(-proofAge)
 		reader.Certify(Backends, value.Version, began)
-		before := other.ProofAge(Backends)
+		_, before, _ := other.CurrentWithProof(Backends)
 		if err := other.Exchange(ctx, members[0].Address); err != nil {
 			t.Fatal(err)
 		}
 		since := time.Since(began)
-		if age := other.ProofAge(Backends); age >= before || age < since {
+		if _, age, _ := other.CurrentWithProof(Backends); age >= before || age < since {
 			t.Errorf("proof age after the exchange: got %v, want less than %v and at least %v", age, before, since)
 		}
 	}
--- a/internal/nodestate/nodestate.go
+++ b/internal/nodestate/nodestate.go
@@ -24,7 +24,8 @@
 // Source delivers new versions of the shared state; *gossip.Service implements it.
 type Source interface {
 	Subscribe(topic gossip.Topic, notify func(gossip.Value))
-	ProofAge(topic gossip.Topic) time.Duration
+	// ProofAge returns the age of the latest proof that no version newer than the given one existed.
+	ProofAge(topic gossip.Topic, version gossip.Version) time.Duration
 }
 
 // Options set up a State.
@@ -42,7 +43,7 @@
 // State holds the newest known version of each kind of shared state. Its methods are safe for concurrent use.
 type State struct {
 	options       Options
-	configuration atomic.Pointer[configuration.Snapshot]
+	configuration atomic.Pointer[configuration.Current]
 	backends      atomic.Pointer[discovery.List]
 	placement     atomic.Pointer[placement.Table]
 
@@ -63,8 +64,9 @@
 	return s
 }
 
-// Configuration returns the newest configuration, nil before the first.
-func (s *State) Configuration() *configuration.Snapshot { return s.configuration.Load() }
+// Configuration returns the newest configuration, nil before the first. Its proof is that of the version it was made from: a
+// newer version that has arrived but is not compiled yet does not count.
+func (s *State) Configuration() *configuration.Current { return s.configuration.Load() }
 
 // Backends returns the newest list of backends, nil before the first.
 func (s *State) Backends() *discovery.List { return s.backends.Load() }
@@ -72,11 +74,6 @@
 // Placement returns the newest placement, nil before the first.
 func (s *State) Placement() *placement.Table { return s.placement.Load() }
 
-// ConfigurationAge returns the time since the configuration was last proven to be the newest.
-func (s *State) ConfigurationAge() time.Duration {
-	return s.options.Source.ProofAge(gossip.Configuration)
-}
-
 // OnBackends registers a function that is called with each new list of backends, after the pools have been updated. If
 // a list is known, the function is called with it at once. Calls are made one at a time. The function must not call
 // OnBackends or OnPlacement.
@@ -148,7 +145,10 @@
 		s.logInvalid("configuration", v, err)
 		return
 	}
-	s.configuration.Store(snapshot)
+	s.configuration.Store(&configuration.Current{
+		Snapshot: snapshot,
+		ProofAge: func() time.Duration { return s.options.Source.ProofAge(v.Topic, v.Version) },
+	})
 	s.updatePools()
 }
 
@@ -203,8 +203,8 @@
 		return
 	}
 	slots := 0
-	if snapshot := s.configuration.Load(); snapshot != nil {
-		if known := snapshot.ServiceByName(service); known != nil && known.Engine != nil {
+	if current := s.configuration.Load(); current != nil {
+		if known := current.ServiceByName(service); known != nil && known.Engine != nil {
 			slots = known.Engine.CapacitySlots
 		}
 	}
--- a/internal/nodestate/nodestate_test.go
+++ b/internal/nodestate/nodestate_test.go
@@ -17,7 +17,7 @@
 
 func (f fakeSource) Subscribe(topic gossip.Topic, notify func(gossip.Value)) { f[topic] = notify }
 
-func (f fakeSource) ProofAge(gossip.Topic) time.Duration { return 0 }
+func (f fakeSource) ProofAge(gossip.Topic, gossip.Version) time.Duration { return 0 }
 
 // Functions registered with OnBackends and OnPlacement may call Pool and Pools: a call made while the lock of the pools
 // is held would deadlock.
--- a/internal/proxy/auth_test.go
+++ b/internal/proxy/auth_test.go
@@ -61,3 +61,32 @@
 		t.Errorf("got status %d and %d requests to the second backend, want 503 and 0", a.StatusCode, len(good.requests))
 	}
 }
+
+// TestKeyIsCheckedBeforeEachAttempt guards against a further attempt with a key that a newer configuration has revoked or given
+// to another tenant since the request was routed.
+func TestKeyIsCheckedBeforeEachAttempt(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		tenants string
+		status  int
+		sent    int // requests to the second backend
+	}{
+		{"still a key of the tenant", `[{"name":"t1","apiKeys":["k1"]}]`, 200, 1},
+		{"revoked", `[{"name":"t1","apiKeys":["k2"]}]`, 401, 0},
+		{"of another tenant", `[{"name":"t1","apiKeys":["k2"]},{"name":"t2","apiKeys":["k1"]}]`, 401, 0},
+		{"no keys at all", `[]`, 401, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			var s *testProxy
+			full := startBackend(t, func(b *backend, r received, conn net.Conn) bool {
+				s.setTenants(t, c.tenants)
+				return fullReply(b, r, conn)
+			})
+			good := startBackend(t, okReply(""))
+			s = startTestProxy(t, nil, full, good)
+			if a := s.post(t, "/many/x"); a.StatusCode != c.status || len(good.requests) != c.sent {
+				t.Errorf("got status %d and %d requests to the second backend, want %d and %d", a.StatusCode, len(good.requests), c.status, c.sent)
+			}
+		})
+	}
+}
--- a/internal/proxy/batch.go
+++ b/internal/proxy/batch.go
@@ -82,12 +82,12 @@
 
 // serveBatchRequest serves a batch API request about a job that has been submitted.
 func (p *Proxy) serveBatchRequest(ctx context.Context, r *request, w *responseWriter) {
-	snapshot, err := p.snapshot()
+	current, err := p.configuration()
 	if err != nil {
 		w.writeError(err)
 		return
 	}
-	tenant, err := p.batchTenant(snapshot, r)
+	tenant, err := p.batchTenant(current, r)
 	if err != nil {
 		w.writeError(err)
 		return
--- a/internal/proxy/drain_test.go
+++ b/internal/proxy/drain_test.go
@@ -49,7 +49,7 @@
 }
 
 func TestBeforeConfiguration(t *testing.T) {
-	s := startTestProxy(t, func(o *Options) { o.Configuration = func() *configuration.Snapshot { return nil } })
+	s := startTestProxy(t, func(o *Options) { o.Configuration = func() *configuration.Current { return nil } })
 	if a := s.post(t, "/many/x"); a.StatusCode != 503 || a.Header.Get("Retry-After") == "" {
 		t.Errorf("got status %d and header %v, want 503 with Retry-After", a.StatusCode, a.Header)
 	}
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -16,12 +16,13 @@
 
 // exchange is a client's request, its attempts at backends, and its one response.
 type exchange struct {
-	proxy         *Proxy
-	route         *configuration.Route
-	service       string
-	requiresProof bool
-	admission     admission.Request
-	request       forward.Request
+	proxy     *Proxy
+	route     *configuration.Route
+	service   string
+	tenant    *configuration.Tenant // nil if the route needs no API key
+	key       string                // the API key
+	admission admission.Request
+	request   forward.Request
 
 	tried        []string // ids of the backends that the request was sent to
 	executed     int      // attempts that were or may have been executed
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -29,10 +29,9 @@
 // Options configure a Proxy.
 type Options struct {
 	// Configuration returns the current configuration, or nil before the first one is known.
-	Configuration func() *configuration.Snapshot
-	// ProofAge returns the age of the latest proof that the configuration is current.
-	ProofAge func() time.Duration
-	// MaxProofAge is the maximum age of that proof at which API keys are still accepted; 0: the age is not checked.
+	Configuration func() *configuration.Current
+	// MaxProofAge is the maximum age of the proof of the configuration at which API keys are still accepted; 0: the age is not
+	// checked.
 	MaxProofAge time.Duration
 	// BackendsKnown reports whether the list of backends is known.
 	BackendsKnown func() bool
@@ -108,30 +107,30 @@
 	if p.draining.Load() || !p.options.BackendsKnown() {
 		return false
 	}
-	snapshot, err := p.snapshot()
+	current, err := p.configuration()
 	if err != nil {
 		return false
 	}
-	return !snapshot.RequiresKey() || p.checkProof() == nil
+	return !current.RequiresKey() || p.checkProof(current) == nil
 }
 
 // limits returns the limits that the configuration sets for clients, and the default for each that it does not set.
 func (p *Proxy) limits() configuration.Limits {
 	limits := defaultLimits
-	snapshot := p.options.Configuration()
-	if snapshot == nil {
+	current := p.options.Configuration()
+	if current == nil {
 		return limits
 	}
-	if n := snapshot.Limits.MaxHeaderBytes; n > 0 {
+	if n := current.Limits.MaxHeaderBytes; n > 0 {
 		limits.MaxHeaderBytes = n
 	}
-	if n := snapshot.Limits.MaxBodyBytes; n > 0 {
+	if n := current.Limits.MaxBodyBytes; n > 0 {
 		limits.MaxBodyBytes = n
 	}
-	if d := snapshot.Limits.HeaderTimeout; d > 0 {
+	if d := current.Limits.HeaderTimeout; d > 0 {
 		limits.HeaderTimeout = d
 	}
-	if d := snapshot.Limits.IdleTimeout; d > 0 {
+	if d := current.Limits.IdleTimeout; d > 0 {
 		limits.IdleTimeout = d
 	}
 	return limits
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -47,7 +47,12 @@
 
 func testSnapshot(t testing.TB) *configuration.Snapshot {
 	t.Helper()
-	document, err := configuration.Parse([]byte(testDocument))
+	return compile(t, testDocument)
+}
+
+func compile(t testing.TB, text string) *configuration.Snapshot {
+	t.Helper()
+	document, err := configuration.Parse([]byte(text))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -214,6 +219,22 @@
 	return discovery.Backend{}, nil, &admission.Refusal{RetryAfter: 300 * time.Millisecond}
 }
 
+// configuration returns the configuration of the test with its proof, nil if there is none.
+func (s *testProxy) configuration() *configuration.Current {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.snapshot == nil {
+		return nil
+	}
+	return &configuration.Current{Snapshot: s.snapshot, ProofAge: s.currentProofAge}
+}
+
+func (s *testProxy) currentProofAge() time.Duration {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.proofAge
+}
+
 func (s *testProxy) setProofAge(age time.Duration) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
@@ -234,6 +255,15 @@
 	s.snapshot = &changed
 }
 
+// setTenants replaces the tenants of the configuration by those of a JSON list.
+func (s *testProxy) setTenants(t *testing.T, tenants string) {
+	before, _, _ := strings.Cut(testDocument, `"tenants":`)
+	changed := compile(t, before+`"tenants":`+tenants+"}")
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.snapshot = changed
+}
+
 func listen(t testing.TB) *net.TCPListener {
 	t.Helper()
 	l, err := net.ListenTCP("tcp4", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
@@ -253,17 +283,8 @@
 	}
 	client.SetBackends(discovery.NewList(list))
 	options := Options{
-		Configuration: func() *configuration.Snapshot {
-			s.mutex.Lock()
-			defer s.mutex.Unlock()
-			return s.snapshot
-		},
-		ProofAge: func() time.Duration {
-			s.mutex.Lock()
-			defer s.mutex.Unlock()
-			return s.proofAge
-		},
-		MaxProofAge: time.Second,
+		Configuration: s.configuration,
+		MaxProofAge:   time.Second,
 		BackendsKnown: func() bool {
 			s.mutex.Lock()
 			defer s.mutex.Unlock()
--- a/internal/proxy/retry.go
+++ b/internal/proxy/retry.go
@@ -37,15 +37,34 @@
 		return e.exhaustedError()
 	case e.refusals >= maxRefusals, e.unreachable >= maxUnreachable:
 		return e.exhaustedError()
-	case !e.requiresProof:
-		return nil
 	}
-	if err := e.proxy.checkProof(); err != nil {
+	if err := e.authorize(); err != nil {
 		return e.errorUnlessExecuted(err)
 	}
 	return nil
 }
 
+// authorize fails unless the API key of the request still belongs to its tenant, by the configuration that is in force now and
+// is proved to be current. The configuration may have been replaced since the request was routed, and the proof of the newer
+// one says nothing about the keys of the former one.
+func (e *exchange) authorize() error {
+	if e.tenant == nil {
+		return nil
+	}
+	current, err := e.proxy.configuration()
+	if err != nil {
+		return err
+	}
+	tenant, err := e.proxy.authenticate(current, e.key)
+	if err != nil {
+		return err
+	}
+	if tenant.Name != e.tenant.Name {
+		return fault.New(fault.Unauthorized, "API key belongs to another tenant now")
+	}
+	return nil
+}
+
 // maxExecutions returns how many attempts may be executed.
 func (e *exchange) maxExecutions() int {
 	if !e.route.Repeatable() {
--- a/internal/proxy/serve.go
+++ b/internal/proxy/serve.go
@@ -47,15 +47,15 @@
 // routeRequest returns the route of a request and the tenant whose API key it carries. The tenant is nil if the route
 // needs no key.
 func (p *Proxy) routeRequest(r *request) (*configuration.Route, *configuration.Tenant, error) {
-	snapshot, err := p.snapshot()
+	current, err := p.configuration()
 	if err != nil {
 		return nil, nil, err
 	}
-	route := snapshot.Match(r.host, r.path)
+	route := current.Match(r.host, r.path)
 	if route == nil {
-		return nil, nil, p.ifCurrent(fault.New(fault.RouteNotFound, "no route for %s%s", r.host, r.path))
+		return nil, nil, p.ifCurrent(current, fault.New(fault.RouteNotFound, "no route for %s%s", r.host, r.path))
 	}
-	tenant, err := p.tenantFor(snapshot, route, r)
+	tenant, err := p.tenantFor(current, route, r)
 	if err != nil {
 		return nil, nil, err
 	}
@@ -94,11 +94,12 @@
 		return false
 	}
 	e := &exchange{
-		proxy:         p,
-		route:         route,
-		service:       service.Name,
-		requiresProof: tenant != nil,
-		admission:     admissionRequest(r, route, tenant),
+		proxy:     p,
+		route:     route,
+		service:   service.Name,
+		tenant:    tenant,
+		key:       r.key(),
+		admission: admissionRequest(r, route, tenant),
 		request: forward.Request{
 			Method:    r.method,
 			Target:    r.target,
@@ -115,13 +116,13 @@
 	return e.executed > 0
 }
 
-// snapshot returns the configuration in force.
-func (p *Proxy) snapshot() (*configuration.Snapshot, error) {
-	snapshot := p.options.Configuration()
-	if snapshot == nil {
+// configuration returns the configuration in force.
+func (p *Proxy) configuration() (*configuration.Current, error) {
+	current := p.options.Configuration()
+	if current == nil {
 		return nil, fault.New(fault.NotReady, "no configuration is known yet")
 	}
-	return snapshot, nil
+	return current, nil
 }
 
 // deadline returns when the response must be complete: after the client's timeout or that of the route, whichever is
