discovery: a list is certified with the proof of its own version

A version that arrives in between with a young proof lends it to a list that was made without it; nodes then poll later than they should.

Evidence: TestDrainingIsNotPublishedWithTheProofOfAnotherVersion on the former code: the new list's proof is a minute younger than that of the version it was made from.

Change: Current returns the version, its list and its proof in one step, and ProofAge is gone from the interface.

--- a/cmd/nickelline/node.go
+++ b/cmd/nickelline/node.go
@@ -135,9 +135,9 @@
 // backendsTopic disseminates the list of backends by gossip. It implements discovery.Distribution.
 type backendsTopic struct{ gossip *gossip.Service }
 
-func (b backendsTopic) Current() (sequence uint64, data []byte, ok bool) {
-	value, ok := b.gossip.Current(gossip.Backends)
-	return value.Version.Sequence, value.Data, ok
+func (b backendsTopic) Current() (discovery.CurrentList, bool) {
+	value, proofAge, known := b.gossip.CurrentWithProof(gossip.Backends)
+	return discovery.CurrentList{Sequence: value.Version.Sequence, Data: value.Data, ProofAge: proofAge}, known
 }
 
 func (b backendsTopic) Publish(sequence uint64, data []byte) {
@@ -148,11 +148,6 @@
 	b.gossip.Certify(gossip.Backends, gossip.Version{Sequence: sequence}, asOf)
 }
 
-func (b backendsTopic) ProofAge() time.Duration {
-	_, age, _ := b.gossip.CurrentWithProof(gossip.Backends)
-	return age
-}
-
 func (b backendsTopic) Pull(ctx context.Context, node netip.AddrPort) error {
 	return b.gossip.Exchange(ctx, node)
 }
--- a/internal/discovery/poller.go
+++ b/internal/discovery/poller.go
@@ -13,18 +13,25 @@
 
 // Distribution disseminates the list among the nodes. Versions are ordered; the higher one replaces the lower.
 type Distribution interface {
-	// Current returns the newest version that the node knows and its encoded list. ok is false if the node knows none.
-	Current() (sequence uint64, data []byte, ok bool)
+	// Current returns the newest version that the node knows, and false if it knows none.
+	Current() (CurrentList, bool)
 	// Publish disseminates a new version.
 	Publish(sequence uint64, data []byte)
 	// Certify records and disseminates the proof that the version matched the platform's listing at asOf.
 	Certify(sequence uint64, asOf time.Time)
-	// ProofAge returns the age of the newest proof of the current version, or math.MaxInt64 if there is none.
-	ProofAge() time.Duration
 	// Pull gets a newer version, or a younger proof of the current one, from another node.
 	Pull(ctx context.Context, node netip.AddrPort) error
 }
 
+// CurrentList is the newest version of the list that a node knows. The proof is that of this version.
+type CurrentList struct {
+	Sequence uint64
+	// Data is the encoded list.
+	Data []byte
+	// ProofAge is the age of the newest proof that the version matched the platform's listing, or math.MaxInt64 if there is none.
+	ProofAge time.Duration
+}
+
 // Ranks provides the rank of this node among the live control nodes, which are ordered by address.
 type Ranks interface {
 	// Rank returns the rank, whether this node is a control node, and the number of live nodes of all roles.
@@ -109,12 +116,21 @@
 // role returns the inputs of the schedule. When the current version has changed, it also tells the schedule the number
 // of pages of that list, which another node may have polled.
 func (p *Poller) role() nodeRole {
-	if sequence, data, known := p.distribution.Current(); known && sequence != p.pagesVersion {
-		p.pagesVersion = sequence
-		p.schedule.setPages(pageCount(data))
+	current, known := p.distribution.Current()
+	if known && current.Sequence != p.pagesVersion {
+		p.pagesVersion = current.Sequence
+		p.schedule.setPages(pageCount(current.Data))
 	}
 	rank, control, members := p.ranks.Rank()
-	return nodeRole{Control: control, Rank: rank, Members: members, ProofAge: p.distribution.ProofAge()}
+	return nodeRole{Control: control, Rank: rank, Members: members, ProofAge: proofAge(current, known)}
+}
+
+// proofAge returns the age of the proof of the current version, unproven if there is no version or no proof.
+func proofAge(current CurrentList, known bool) time.Duration {
+	if !known {
+		return unproven
+	}
+	return current.ProofAge
 }
 
 // pull requests a younger proof from a control node. It starts with the first control node, and moves on to the next
@@ -130,7 +146,7 @@
 	peer := peers[p.fruitlessPulls%len(peers)]
 	err := p.distribution.Pull(ctx, peer)
 	p.fruitlessPulls++
-	if p.distribution.ProofAge() < before.ProofAge {
+	if current, known := p.distribution.Current(); proofAge(current, known) < before.ProofAge {
 		p.fruitlessPulls = 0
 	}
 	if err != nil {
@@ -141,7 +157,8 @@
 // poll polls the listing once and publishes changes.
 func (p *Poller) poll(ctx context.Context, primary bool) {
 	startedAt := time.Now()
-	before, _, known := p.distribution.Current()
+	current, known := p.distribution.Current()
+	before := current.Sequence
 	timeout := p.schedule.pollTimeout(known)
 	p.schedule.pollStarted(startedAt)
 	ctx, cancel := context.WithTimeout(ctx, timeout)
--- a/internal/discovery/poller_test.go
+++ b/internal/discovery/poller_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/netip"
+	"sync"
 	"testing"
 	"time"
 
@@ -29,7 +30,9 @@
 	changes  int
 }
 
-func (d *fakeDistribution) Current() (uint64, []byte, bool) { return d.sequence, d.data, d.data != nil }
+func (d *fakeDistribution) Current() (CurrentList, bool) {
+	return CurrentList{Sequence: d.sequence, Data: d.data, ProofAge: d.proofAge()}, d.data != nil
+}
 func (d *fakeDistribution) Publish(sequence uint64, data []byte) {
 	d.sequence, d.data, d.proof = sequence, data, time.Time{}
 	d.changes++
@@ -40,7 +43,7 @@
 	}
 }
 func (d *fakeDistribution) Pull(context.Context, netip.AddrPort) error { return nil }
-func (d *fakeDistribution) ProofAge() time.Duration {
+func (d *fakeDistribution) proofAge() time.Duration {
 	if d.proof.IsZero() {
 		return unknownAge
 	}
@@ -194,14 +197,14 @@
 	}
 }
 
-// slowDistribution returns the age of its proof 1 ms after reading it, as on an overloaded machine.
+// slowDistribution returns the current version 1 ms after reading it, as on an overloaded machine.
 type slowDistribution struct{ *fakeDistribution }
 
-func (d slowDistribution) ProofAge() time.Duration {
-	age := d.fakeDistribution.ProofAge()
+func (d slowDistribution) Current() (CurrentList, bool) {
+	current, known := d.fakeDistribution.Current()
 	for began := time.Now(); time.Since(began) < time.Millisecond; {
 	}
-	return age
+	return current, known
 }
 
 // A version that is published during a poll inherits the proof of the previous version. If the age of that proof were
@@ -225,3 +228,42 @@
 		t.Errorf("proof of the new version: got one younger by %v, want that of the version before", d.proof.Sub(proof))
 	}
 }
+
+// overtakenDistribution gets another version with a young proof as soon as the current one has been read.
+type overtakenDistribution struct {
+	*fakeDistribution
+	overtake func()
+}
+
+func (d overtakenDistribution) Current() (CurrentList, bool) {
+	defer d.overtake()
+	return d.fakeDistribution.Current()
+}
+
+// TestDrainingIsNotPublishedWithTheProofOfAnotherVersion guards against a list that was made from an old version being taken as
+// proven, because the proof of a version that arrived meanwhile was used for it.
+func TestDrainingIsNotPublishedWithTheProofOfAnotherVersion(t *testing.T) {
+	backends := manyBackends(3)
+	for i := range backends {
+		backends[i].Draining = false
+	}
+	d := &fakeDistribution{}
+	newTestPoller(d, &pagedSource{pages: [][]Backend{backends}, afterPage: func() {}}).poll(t.Context(), true)
+	proof := time.Now().Add(-time.Minute)
+	d.proof = proof
+	var once sync.Once
+	poller := newTestPoller(overtakenDistribution{d, func() {
+		once.Do(func() {
+			d.Publish(d.sequence+1, d.data)
+			d.Certify(d.sequence, time.Now())
+		})
+	}}, nil)
+	draining := append([]Backend(nil), backends...)
+	draining[1].Draining = true
+	if _, published := poller.publishDraining(draining); !published {
+		t.Fatal("draining backend: got no new version")
+	}
+	if d.proof.After(proof) {
+		t.Errorf("proof of the new version: got one younger by %v than that of the version it was made from", d.proof.Sub(proof))
+	}
+}
--- a/internal/discovery/publish.go
+++ b/internal/discovery/publish.go
@@ -17,16 +17,17 @@
 // polled list, unless a newer version or proof has arrived since the poll started. The version that was current when
 // the poll started, or that the poll itself has published since, is passed as before.
 func (p *Poller) publishOrCertify(list *List, before uint64, startedAt, now time.Time) {
-	sequence, data, known := p.distribution.Current()
-	if known && p.decodeCurrent(sequence, data) && sameBackends(p.decoded.list, list) {
-		p.distribution.Certify(sequence, startedAt)
+	current, known := p.distribution.Current()
+	if known && p.decodeCurrent(current) && sameBackends(p.decoded.list, list) {
+		p.distribution.Certify(current.Sequence, startedAt)
 		return
 	}
-	newer := p.distribution.ProofAge() < now.Sub(startedAt)
-	if sequence != before || newer {
+	latest, known := p.distribution.Current()
+	newer := proofAge(latest, known) < now.Sub(startedAt)
+	if latest.Sequence != before || newer {
 		return
 	}
-	next, published := p.publish(sequence, list)
+	next, published := p.publish(latest.Sequence, list)
 	if !published {
 		return
 	}
@@ -39,19 +40,18 @@
 // publishDraining does not wait for the rest of a long listing. The proof of the new version is as old as that of the
 // previous one.
 func (p *Poller) publishDraining(page []Backend) (uint64, bool) {
-	sequence, data, known := p.distribution.Current()
-	if !known || !p.decodeCurrent(sequence, data) {
+	now := time.Now() // read before the age, so that the proof does not appear younger than it is
+	current, known := p.distribution.Current()
+	if !known || !p.decodeCurrent(current) {
 		return 0, false
 	}
 	list, changed := p.decoded.list.withDraining(page)
 	if !changed {
 		return 0, false
 	}
-	now := time.Now() // read before the age, so that the proof does not appear younger than it is
-	age := p.distribution.ProofAge()
-	next, published := p.publish(sequence, list)
-	if published && age != unproven {
-		p.distribution.Certify(next, now.Add(-age))
+	next, published := p.publish(current.Sequence, list)
+	if published && current.ProofAge != unproven {
+		p.distribution.Certify(next, now.Add(-current.ProofAge))
 	}
 	return next, published
 }
@@ -71,16 +71,16 @@
 }
 
 // decodeCurrent decodes the current version into p.decoded, unless it is there already. It reports success.
-func (p *Poller) decodeCurrent(sequence uint64, data []byte) bool {
-	if p.decoded.list != nil && p.decoded.sequence == sequence {
+func (p *Poller) decodeCurrent(current CurrentList) bool {
+	if p.decoded.list != nil && p.decoded.sequence == current.Sequence {
 		return true
 	}
-	list, err := Decode(data)
+	list, err := Decode(current.Data)
 	if err != nil {
-		p.log.Error("decode list of backends failed", zap.Uint64("sequence", sequence), zap.Error(err))
+		p.log.Error("decode list of backends failed", zap.Uint64("sequence", current.Sequence), zap.Error(err))
 		return false
 	}
-	p.decoded = decodedList{sequence: sequence, list: list}
+	p.decoded = decodedList{sequence: current.Sequence, list: list}
 	return true
 }
 
