chain: replace a session that the receiver does not have

Found by going through every wait for the lost member: a member that is restarted may take a late Connect of an earlier session for the newest one. Its predecessor, which has nothing to send, counts the newer session as established and has no deadline on it; the member asks for a session every half second and names the one that it has, which the predecessor ignored. With nothing to append, this never ended.

Evidence: TestSessionThatTheReceiverDoesNotHaveIsReplaced on the former code: after 5 s the member's session has not started.

Change: an Attach with another session than the one that streams is answered with a new session. While a session is being set up, its deadline replaces it, as before.

--- a/internal/chain/downstream_session.go
+++ b/internal/chain/downstream_session.go
@@ -42,8 +42,9 @@
 	}
 }
 
-// receiveAttach connects to a replica that asks for a session, unless it has one already. A replica that the view does
-// not name becomes a learner.
+// receiveAttach connects to a replica that asks for a session, unless it has one already. A session that streams here is useless
+// if the receiver is in another one; while the session is being set up, its deadline replaces it if need be. A replica that the
+// view does not name becomes a learner.
 func (r *Replica) receiveAttach(now time.Duration, from netip.AddrPort, sender view.ReplicaID, m Attach) {
 	if !r.complete() {
 		return
@@ -60,7 +61,7 @@
 	}
 	l.to.Address = from
 	broken := m.Broken && m.Session == l.session
-	if broken || (m.Session == Session{}) {
+	if broken || (m.Session == Session{}) || (l.state == linkStreaming && m.Session != l.session) {
 		r.connect(now, l)
 	}
 }
--- a/internal/chain/lost_member_test.go
+++ b/internal/chain/lost_member_test.go
@@ -129,3 +129,28 @@
 		}
 	}
 }
+
+// TestSessionThatTheReceiverDoesNotHaveIsReplaced guards against a member that waits for ever: it was restarted and took a late
+// message of an earlier session, while its predecessor has nothing to send and counts the session as established.
+func TestSessionThatTheReceiverDoesNotHaveIsReplaced(t *testing.T) {
+	head := view.Member{Replica: 1, Address: addressOf(0), Joined: 1}
+	tail := view.Member{Replica: 2, Address: addressOf(1), Joined: 1}
+	v := view.View{Epoch: 1, Members: []view.Member{head, tail}}
+	e := newExchange(t)
+	h, former := e.start(head), e.start(tail)
+	for _, r := range []*Replica{h, former} {
+		e.step(r, func(time.Duration) { r.Install(v) })
+	}
+	e.run(time.Second)
+	late := Connect{Session: h.successor.session}
+	e.step(h, func(now time.Duration) { h.connect(now, h.successor) })
+	e.run(time.Second)
+	restarted := e.startFrom(tail, Recovered{Record: Record{View: v, CompleteEpoch: 1, Generation: 1}})
+	// What the restarted member sends at once is lost.
+	e.queue = nil
+	e.deliver(delivery{head.Address, Outgoing{tail.Address, Envelope{Epoch: 1, Sender: head.Replica, Receiver: tail.Replica, Body: late}}})
+	e.run(5 * time.Second)
+	if !restarted.upstream.started || !h.headReady() {
+		t.Errorf("5 s after the late message: got upstream %+v and head %+v, want a session and a ready head", restarted.upstream, h.Status())
+	}
+}
