store: tell which replica keeps a partition from being fully replicated

After the loss of a disk nothing told an operator that a partition missed a replica, since when and why; the lost-member fault had to be traced with a changed copy of the source.

--- a/internal/store/doc.go
+++ b/internal/store/doc.go
@@ -27,6 +27,7 @@
 //   - options.go, service.go: the role, its partitions, and their directories;
 //   - placement.go, hosted_partition.go, learner.go, discard.go: the life cycle of a replica, from placement to file removal;
 //   - handlers.go, partition.go, writes.go, reads.go: the calls of the proxies;
+//   - replication_monitor.go: replicas that keep their partition from being fully replicated;
 //   - state.go, clock.go, confirmation.go: the state machine of a partition, the clock readings of its commands, and the confirmation
 //     that it is up to date;
 //   - runner.go, runner_jobs.go, runner_config.go: the loop that runs the items of a partition;
--- a/internal/store/progress.go
+++ b/internal/store/progress.go
@@ -94,13 +94,17 @@
 	return report
 }
 
-// progress returns the status of each partition on this store.
+// progress returns the status of each partition on this store, and passes it to the monitor.
 func (s *Service) progress() []control.ChainStatus {
 	var chains []control.ChainStatus
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
+	now := time.Now()
+	s.monitor.forget(func(partition uint32) bool { return s.partitions[partition] != nil })
 	for number, hosted := range s.partitions {
 		status := hosted.node.Status()
+		isMember := hosted.node.View().Has(s.options.Self.Replica)
+		s.monitor.observe(now, number, lagOf(hosted.node, &status, isMember), hosted.node.Sessions)
 		chains = append(chains, control.ChainStatus{
 			Chain:    number,
 			Epoch:    status.Epoch,
--- a/internal/store/service.go
+++ b/internal/store/service.go
@@ -46,6 +46,7 @@
 	mutex      sync.Mutex
 	partitions map[uint32]*hostedPartition
 	placements map[uint32]*placement.Partition // the newest placement of each partition
+	monitor    *replicationMonitor
 	closed     bool
 }
 
@@ -60,6 +61,7 @@
 		readConfirmationAge: settlement / readConfirmationDivisor,
 		partitions:          map[uint32]*hostedPartition{},
 		placements:          map[uint32]*placement.Partition{},
+		monitor:             newReplicationMonitor(options.Log),
 		changed:             make(chan struct{}, 1),
 	}
 	s.ctx, s.cancel = context.WithCancel(context.Background())
--- a/internal/store/stats.go
+++ b/internal/store/stats.go
@@ -1,6 +1,9 @@
 package store
 
-import "maps"
+import (
+	"maps"
+	"time"
+)
 
 // RouteStats counts the items of one route in the partitions whose head is this store.
 type RouteStats struct {
@@ -15,6 +18,10 @@
 type Stats struct {
 	// Partitions counts the partitions of which the store has a replica, and Heads those of them whose items it runs.
 	Partitions, Heads int
+	// Lagging counts the replicas that keep their partition from being fully replicated, and LongestLag is for how long the one
+	// has done so that has lagged longest.
+	Lagging    int
+	LongestLag time.Duration
 	// Routes counts the items by the name of their route.
 	Routes map[string]RouteStats
 }
@@ -23,8 +30,9 @@
 func (s *Service) Stats() Stats {
 	s.mutex.Lock()
 	partitions := maps.Clone(s.partitions)
+	lagging, longest := s.monitor.longest(time.Now())
 	s.mutex.Unlock()
-	stats := Stats{Partitions: len(partitions), Routes: map[string]RouteStats{}}
+	stats := Stats{Partitions: len(partitions), Lagging: lagging, LongestLag: longest, Routes: map[string]RouteStats{}}
 	for _, hosted := range partitions {
 		if r := hosted.runner.Load(); r != nil {
 			stats.Heads++
