--- a/internal/chain/lost_member_simulation_test.go
+++ b/internal/chain/lost_member_simulation_test.go
@@ -29,6 +29,29 @@
 	s.sites = s.sites[:2+s.random.IntN(2)]
 	s.seeds = s.seeds[:len(s.sites)]
 	s.policy = view.Policy{MinimumMembers: 2, MaximumMembers: len(s.sites)}
+	s.planFaults = s.planLosses
+	s.useUnreliableMessages()
+	return s
+}
+
+// TestCutOffMemberIsReplacedInTime guards against a partition that stays without a replica while a member is cut off and runs on, and
+// a replica at another address takes its place.
+func TestCutOffMemberIsReplacedInTime(t *testing.T) {
+	runHistories(t, func(t *testing.T, seed uint64) *simulation {
+		s := newSimulation(t, seed)
+		for len(s.sites) < 4 {
+			s.sites = append(s.sites, newSite(s, len(s.sites), addressOf(len(s.sites))))
+		}
+		s.sites = s.sites[:4]
+		s.policy = view.Policy{MinimumMembers: 2, MaximumMembers: 3}
+		s.planFaults = s.planCuts
+		s.useUnreliableMessages()
+		return s
+	})
+}
+
+// useUnreliableMessages has a careful authority decide the views, and messages be lost, late, out of order and doubled.
+func (s *simulation) useUnreliableMessages() {
 	s.authority, s.careful, s.reportsLostDisks = true, true, true
 	s.losses.unrepaired = s.toleratedLosses()
 	s.network.Conditions = simnet.Conditions{
@@ -39,8 +62,6 @@
 	}
 	s.duplication = []float64{0, 0.02, 0.2}[s.random.IntN(3)]
 	s.duration = time.Duration(lossesPerHistory+1) * lossInterval
-	s.planFaults = s.planLosses
-	return s
 }
 
 // planLosses schedules losses of one disk each, one after the other.
@@ -66,6 +87,33 @@
 	})
 }
 
+// planCuts schedules cuts of one member each, one after the other.
+func (s *simulation) planCuts() {
+	for i := range lossesPerHistory {
+		s.network.At(s.network.Now()+time.Duration(i+1)*lossInterval, s.cutOffMember)
+	}
+}
+
+// cutOffMember cuts a random member off until the next cut, and checks that another site takes its place in time.
+func (s *simulation) cutOffMember() {
+	if s.healed || !s.mayLoseDisk() {
+		return
+	}
+	target := s.memberSite()
+	s.isolate(target, lossInterval-time.Millisecond, 0)
+	s.cutOff = target
+	s.losses.total++
+	s.losses.unrepaired++
+	s.after(lossInterval-time.Millisecond, func() { s.cutOff = nil })
+	loss := s.losses.total
+	s.after(catchUpBound, func() {
+		s.checkRepaired(loss)
+		if len(s.newest.Members) != s.policy.MaximumMembers || s.newest.Has(target.self.Replica) {
+			s.fatalf("the view %v after the cut: got %v, want one with another member in place of the cut-off one", catchUpBound, s.newest.Members)
+		}
+	})
+}
+
 // checkRepaired fails the history if the given loss, the latest one, has not been repaired.
 func (s *simulation) checkRepaired(loss int) {
 	s.updateRepaired()
@@ -75,5 +123,5 @@
 	for _, site := range s.sites {
 		s.logf("%v", site)
 	}
-	s.fatalf("the partition was not fully replicated within %v of the return of the machine", catchUpBound)
+	s.fatalf("the partition was not fully replicated within %v", catchUpBound)
 }
--- a/internal/chain/simulation_authority_test.go
+++ b/internal/chain/simulation_authority_test.go
@@ -14,7 +14,7 @@
 // in two of three cases before.
 func (s *site) installAuthorityView() {
 	decided := s.simulation.decided
-	if decided.Epoch > 0 && (s.simulation.healed || s.simulation.random.IntN(3) != 0) {
+	if decided.Epoch > 0 && s != s.simulation.cutOff && (s.simulation.healed || s.simulation.random.IntN(3) != 0) {
 		s.step(func(time.Duration) { s.replica.Install(decided) })
 	}
 }
@@ -84,14 +84,14 @@
 	for _, member := range s.decided.Members {
 		if site := s.siteOf(member); site != nil {
 			complete := site.replica.complete() && site.replica.View().Epoch >= member.Joined
-			reachable := s.network.Up(site.address) && !s.network.Frozen(site.address)
+			reachable := s.network.Up(site.address) && !s.network.Frozen(site.address) && site != s.cutOff
 			candidates = append(candidates, view.Candidate{Member: member, Complete: complete, Reachable: reachable})
 		} else if s.reportsLostDisks {
 			candidates = append(candidates, view.Candidate{Member: member, DiskLost: true})
 		}
 	}
 	for _, site := range s.sites {
-		if site.replica != nil && !s.decided.Has(site.self.Replica) && s.network.Up(site.address) {
+		if site.replica != nil && !s.decided.Has(site.self.Replica) && s.network.Up(site.address) && site != s.cutOff {
 			candidates = append(candidates, view.Candidate{Member: site.self, Reachable: true, CaughtUp: site.replica.caughtUp()})
 		}
 	}
--- a/internal/chain/simulation_disk_losses_test.go
+++ b/internal/chain/simulation_disk_losses_test.go
@@ -41,7 +41,7 @@
 	}
 	for _, voter := range s.newest.Electorate() {
 		site := s.siteOf(voter)
-		if site == nil || !s.network.Up(site.address) || site.replica.View().Epoch != s.newest.Epoch || s.viewChangePending(site) {
+		if site == nil || site == s.cutOff || !s.network.Up(site.address) || site.replica.View().Epoch != s.newest.Epoch || s.viewChangePending(site) {
 			return false
 		}
 		if s.newest.Has(voter.Replica) && !site.replica.complete() {
--- a/internal/chain/simulation_test.go
+++ b/internal/chain/simulation_test.go
@@ -47,6 +47,7 @@
 	careful   bool // the authority, like the placement, drops no copy that may be needed
 	// reportsLostDisks means that the authority knows which members have lost their disks.
 	reportsLostDisks bool
+	cutOff           *site // the site that the authority cannot reach, nil if there is none
 	// duplication is the probability that a message between replicas is delivered a second time, out of order, and to another
 	// process if one has been started at the address meanwhile.
 	duplication float64
