cmd: ignore SIGHUP until it is caught

Change: a constructor that the C library calls before the Go runtime starts has SIGHUP ignored; the runtime leaves it so until signal.Notify catches it. Nothing is lost, as the settings are read after that. Blocking SIGHUP and SIGTERM instead was tried: the runtime unblocks both.

Left: the time in which the system loads the program, and SIGTERM before main, after which the process ends as it was told to, by the signal.

--- a/cmd/balancer/main.go
+++ b/cmd/balancer/main.go
@@ -16,6 +16,7 @@
 	"runtime/debug"
 	"syscall"
 
+	_ "nickelline/internal/earlyhangup"
 	"nickelline/internal/node"
 )
 
@@ -36,7 +37,7 @@
 }
 
 func run() error {
-	reload := make(chan os.Signal, 1) // registered first, because an unhandled SIGHUP ends the process
+	reload := make(chan os.Signal, 1)
 	signal.Notify(reload, syscall.SIGHUP)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
--- a/cmd/nickelline/main.go
+++ b/cmd/nickelline/main.go
@@ -7,6 +7,8 @@
 	"syscall"
 
 	"github.com/alecthomas/kong"
+
+	_ "nickelline/internal/earlyhangup"
 )
 
 // commandLine is the whole command line; each field is a subcommand.
@@ -21,7 +23,7 @@
 }
 
 // signals receives the caught signals. They are caught before anything else, since an uncaught SIGHUP or SIGTERM would kill
-// the process.
+// the process. Package earlyhangup ignores a SIGHUP that arrives before main.
 type signals struct {
 	terminate chan os.Signal
 	reload    chan os.Signal
