--- a/internal/chain/reconfigurer.go
+++ b/internal/chain/reconfigurer.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"nickelline/internal/pause"
 	"nickelline/internal/view"
 )
 
@@ -105,19 +106,13 @@
 // Run proposes views, or learns, until ctx ends. The probes of neighbours that it starts end with ctx too.
 func (r *Reconfigurer) Run(ctx context.Context) {
 	go r.probeNeighbours(ctx)
-	timer := time.NewTimer(0)
-	defer timer.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-r.wake:
-		case <-timer.C:
+	pause.Repeat(ctx, r.wake, func() time.Duration {
+		wait := r.act(ctx)
+		if wait <= 0 {
+			return 0
 		}
-		if wait := r.act(ctx); wait > 0 {
-			timer.Reset(max(wait, retryMinimum))
-		}
-	}
+		return max(wait, retryMinimum)
+	})
 }
 
 // act acts in the role that this replica has in the view in force. It returns the time until it should be called again,
--- a/internal/control/proof_schedule.go
+++ b/internal/control/proof_schedule.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"nickelline/internal/pause"
 )
 
 // minProofRetryDelay is the delay before the retry of a failed proof. It doubles with each further failure, up to the period of
@@ -30,15 +32,5 @@
 // sooner after a failure, which prove reports by returning false.
 func proveRepeatedly(ctx context.Context, period time.Duration, wake <-chan struct{}, prove func(context.Context) bool) {
 	schedule := proofSchedule{period: period}
-	timer := time.NewTimer(0)
-	defer timer.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-timer.C:
-		case <-wake:
-		}
-		timer.Reset(schedule.next(prove(ctx)))
-	}
+	pause.Repeat(ctx, wake, func() time.Duration { return schedule.next(prove(ctx)) })
 }
--- a/internal/forward/client_test.go
+++ b/internal/forward/client_test.go
@@ -44,7 +44,13 @@
 // last response it reads the connection until the other side closes it.
 func startBackend(t *testing.T, script ...string) *scriptedBackend {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	return acceptConnections(t, func(b *scriptedBackend, conn *net.TCPConn) { b.serve(conn, script) })
+}
+
+// acceptConnections starts a backend that calls serve for each connection.
+func acceptConnections(t *testing.T, serve func(b *scriptedBackend, conn *net.TCPConn)) *scriptedBackend {
+	t.Helper()
+	listener, err := net.ListenTCP("tcp4", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -54,12 +60,12 @@
 	b.Address = listener.Addr().(*net.TCPAddr).AddrPort()
 	go func() {
 		for {
-			conn, err := listener.Accept()
+			conn, err := listener.AcceptTCP()
 			if err != nil {
 				return
 			}
 			b.connections.Add(1)
-			go b.serve(conn, script)
+			go serve(b, conn)
 		}
 	}()
 	return b
--- a/internal/forward/early_response_test.go
+++ b/internal/forward/early_response_test.go
@@ -36,35 +36,17 @@
 // connection is closed when handle returns.
 func startEarlyBackend(t *testing.T, handle func(r *earlyRequest)) *scriptedBackend {
 	t.Helper()
-	listener, err := net.ListenTCP("tcp4", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { listener.Close() })
-	b := &scriptedBackend{requests: make(chan receivedRequest, 100), closed: make(chan error, 100)}
-	b.ID, b.Service = "i-1", "s"
-	b.Address = listener.Addr().(*net.TCPAddr).AddrPort()
-	go func() {
-		for {
-			conn, err := listener.AcceptTCP()
-			if err != nil {
-				return
-			}
-			b.connections.Add(1)
-			go func() {
-				defer conn.Close()
-				conn.SetReadBuffer(smallReceiveBuffer)
-				reader := bufio.NewReader(conn)
-				request, err := http.ReadRequest(reader)
-				if err != nil {
-					b.closed <- err
-					return
-				}
-				handle(&earlyRequest{request, conn, reader})
-			}()
+	return acceptConnections(t, func(b *scriptedBackend, conn *net.TCPConn) {
+		defer conn.Close()
+		conn.SetReadBuffer(smallReceiveBuffer)
+		reader := bufio.NewReader(conn)
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			b.closed <- err
+			return
 		}
-	}()
-	return b
+		handle(&earlyRequest{request, conn, reader})
+	})
 }
 
 func longRequest() *Request {
--- a/internal/pause/pause_test.go
+++ b/internal/pause/pause_test.go
@@ -67,3 +67,23 @@
 		cancel()
 	}
 }
+
+func TestRepeatCallsAtOnceAfterTheReturnedTimeAndWhenWoken(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	wake := make(chan struct{}, 1)
+	waits := []time.Duration{time.Millisecond, 0, time.Hour}
+	calls := 0
+	Repeat(ctx, wake, func() time.Duration {
+		calls++
+		if calls == 2 { // the next call comes only if woken
+			wake <- struct{}{}
+		}
+		if calls == len(waits) {
+			cancel()
+		}
+		return waits[calls-1]
+	})
+	if calls != len(waits) {
+		t.Errorf("calls: got %d, want %d", calls, len(waits))
+	}
+}
