soak: a request that a process reads while it is being killed is excused

The check excuses requests whose process was killed since they were sent. It took the time before the signal was sent for that of the kill; beside load the request came in between. Now a process counts as killed from then until it is started again, and its end is the time of the kill. Requests to processes that were not killed are checked as before.

--- a/internal/soak/process_test.go
+++ b/internal/soak/process_test.go
@@ -44,7 +44,7 @@
 	starts    int
 	startedAt time.Time
 	toldAt    time.Time // when the current process was first told to end
-	abrupt    time.Time // the latest time at which the process was killed, frozen or thawed
+	abrupt    time.Time // the latest time at which the process was killed or so ended, was frozen or thawed
 }
 
 func (p *process) writeSettings(text string) {
@@ -90,6 +90,9 @@
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	defer close(ended)
+	if p.killed {
+		p.abrupt = time.Now()
+	}
 	var exit *exec.ExitError
 	switch {
 	case !p.expected:
@@ -211,9 +214,10 @@
 	return p.isRunning()
 }
 
-// wasAbrupt reports whether the process was killed or frozen since a time.
+// wasAbrupt reports whether the process was killed or frozen since a time. A process that is told to end by SIGKILL runs on for a
+// moment, so that it may still read a request that was sent after that.
 func (p *process) wasAbrupt(since time.Time) bool {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	return p.frozen || p.abrupt.After(since)
+	return p.frozen || p.killed || p.abrupt.After(since)
 }
