cmd: log when a process begins and ends to leave

The two lines, with "bytes sent" and the end of the hand-over between them, tell the phases apart the next time.

--- a/cmd/nickelline/node.go
+++ b/cmd/nickelline/node.go
@@ -118,6 +118,7 @@
 
 // announceLeaving announces to the other members that this process is about to terminate but still serves.
 func (n *node) announceLeaving() {
+	n.log.Info("process is leaving")
 	n.members.UpdateSelf(func(self *member.Member) { self.Leaving = true })
 }
 
@@ -129,6 +130,7 @@
 	n.logTraffic()
 	n.stop()
 	n.transport.Close()
+	n.log.Info("process has left")
 	_ = n.log.Sync()
 }
 
