--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -6,4 +6,4 @@
 cd "$folder/../.." || exit 2
 [ -x target/nickelline ] && [ -x target/review-2 ] || exit 2
 export RECORD="$folder/record.txt"
-exec target/review-2 shadow
+exec target/review-2 public
