--- a/review/second/rig.go
+++ b/review/second/rig.go
@@ -252,9 +252,10 @@
 
 func main() {
 	cases := map[string]func(*rig) (bool, error){
-		"shadow": shadowCase,
-		"public": publicCase,
-		"patch":  patchCase,
+		"shadow":  shadowCase,
+		"public":  publicCase,
+		"patch":   patchCase,
+		"failing": failingItemCase,
 	}
 	if len(os.Args) != 2 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: review-2 CASE")
