--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,7 @@
 #!/usr/bin/env bash
-# Builds the program of the second review's scripts, with all of its stand-ins.
+# Builds the one program that the scripts of the second review run. It holds all of their stand-ins, and has no dependencies, so that
+# it needs no network.
 set -euo pipefail
-cd "$(dirname "$0")/.."
-go build -C review/second -o ../../target/review-2 .
+cd "$(dirname "$0")/second"
+mkdir -p ../../target
+GOFLAGS=-mod=mod GOPROXY=off GOTOOLCHAIN=local go build -o ../../target/review-2 .
