Store: a metric that tells why an item that was next was not sent

An operator whose batch items wait sees that they wait, not why. nickelline_batch_items_held_total counts, by route, the times that an item was next and was not sent: no capacity, no service by the configuration here, or no slot.

--- a/cmd/nickelline/golden_test.go
+++ b/cmd/nickelline/golden_test.go
@@ -139,6 +139,7 @@
 		Partitions: 41, Heads: 42,
 		Lagging: 46, LongestLag: 47 * time.Second,
 		Routes: map[string]store.RouteStats{"push": {Waiting: 43, Late: 44, Running: 45}},
+		Held:   map[string]map[string]uint64{"push": {"no_route": 54, "refused": 55}},
 	})
 	golden.Text(t, "metrics.txt", w.String())
 }
--- a/cmd/nickelline/metrics.go
+++ b/cmd/nickelline/metrics.go
@@ -182,6 +182,17 @@
 		w.Gauge("nickelline_batch_items_late", float64(items.Late), label)
 		w.Gauge("nickelline_batch_items_running", float64(items.Running), label)
 	}
+	writeHeldItems(w, stats.Held)
+}
+
+// writeHeldItems writes how often items were not sent when they were next.
+func writeHeldItems(w *metrics.Writer, held map[string]map[string]uint64) {
+	for _, route := range slices.Sorted(maps.Keys(held)) {
+		for _, reason := range slices.Sorted(maps.Keys(held[route])) {
+			w.Counter("nickelline_batch_items_held_total", held[route][reason],
+				metrics.Label{Name: "route", Value: route}, metrics.Label{Name: "reason", Value: reason})
+		}
+	}
 }
 
 // boolGauge returns 1 for true and 0 for false.
--- a/internal/store/dispatch.go
+++ b/internal/store/dispatch.go
@@ -69,7 +69,7 @@
 	case route != nil:
 		return r.send(ctx, snapshot, route, item)
 	case snapshot.RouteByName(item.Job.Pending.Route) != nil:
-		r.postpone(item, now.Add(unroutablePause))
+		r.hold(item, heldByRoute, now.Add(unroutablePause))
 	default:
 		r.abandonItem(ctx, item)
 	}
@@ -86,10 +86,12 @@
 	return route
 }
 
-// postpone returns an item to the schedule and pauses its route.
-func (r *runner) postpone(item *scheduler.Item, until time.Time) {
+// hold returns an item that cannot be sent to the schedule, and pauses its route.
+func (r *runner) hold(item *scheduler.Item, reason holdReason, until time.Time) {
+	route := item.Job.Pending.Route
+	r.config.held.record(route, reason)
 	r.schedule.GiveBack(item)
-	r.schedule.PauseRoute(item.Job.Pending.Route, until)
+	r.schedule.PauseRoute(route, until)
 }
 
 // send starts an attempt of an item, or returns the item to the schedule. It returns false if all slots are taken, so that no other
@@ -98,10 +100,11 @@
 	now := time.Now()
 	service := route.Choose(rand.Float64())
 	if service == nil {
-		r.postpone(item, now.Add(unroutablePause))
+		r.hold(item, heldByRoute, now.Add(unroutablePause))
 		return true
 	}
 	if !r.config.slots.TryAcquire(r) {
+		r.config.held.record(item.Job.Pending.Route, heldBySlots)
 		r.schedule.GiveBack(item) // Slots.Release wakes the loop
 		return false
 	}
@@ -109,7 +112,7 @@
 	if refusal != nil {
 		r.config.slots.Release()
 		item.AvoidBackend = ""
-		r.postpone(item, now.Add(scheduler.RefusalPause(refusal.RetryAfter)))
+		r.hold(item, heldByAdmission, now.Add(scheduler.RefusalPause(refusal.RetryAfter)))
 		r.enterRetryQueue(item.Job.Pending.Route)
 		return true
 	}
--- a/internal/store/fixture_test.go
+++ b/internal/store/fixture_test.go
@@ -138,6 +138,7 @@
 		slots:               scheduler.NewSlots(50),
 		retryQueue:          scheduler.NewRetryQueue(),
 		pacer:               scheduler.NewPacer(time.Millisecond),
+		held:                newHeldItems(),
 		log:                 zap.NewNop(),
 	}
 	return f
--- a/internal/store/runner_config.go
+++ b/internal/store/runner_config.go
@@ -49,6 +49,7 @@
 	slots      *scheduler.Slots
 	retryQueue *scheduler.RetryQueue
 	pacer      *scheduler.Pacer
+	held       *heldItems
 	log        *zap.Logger
 }
 
@@ -66,6 +67,7 @@
 		slots:               scheduler.NewSlots(maxRunningItemsFor(o.MemoryMB)),
 		retryQueue:          scheduler.NewRetryQueue(),
 		pacer:               scheduler.NewPacer(streamReadInterval),
+		held:                newHeldItems(),
 		log:                 o.Log,
 	}
 }
--- a/internal/store/stats.go
+++ b/internal/store/stats.go
@@ -24,6 +24,8 @@
 	LongestLag time.Duration
 	// Routes counts the items by the name of their route.
 	Routes map[string]RouteStats
+	// Held counts how often an item that was next was not sent, by the name of its route and the reason.
+	Held map[string]map[string]uint64
 }
 
 // Stats returns the store's current metrics.
@@ -32,7 +34,7 @@
 	partitions := maps.Clone(s.partitions)
 	lagging, longest := s.monitor.longest(time.Now())
 	s.mutex.Unlock()
-	stats := Stats{Partitions: len(partitions), Lagging: lagging, LongestLag: longest, Routes: map[string]RouteStats{}}
+	stats := Stats{Partitions: len(partitions), Lagging: lagging, LongestLag: longest, Routes: map[string]RouteStats{}, Held: s.runnerConfig.held.byRoute()}
 	for _, hosted := range partitions {
 		if r := hosted.runner.Load(); r != nil {
 			stats.Heads++
