Store: items run on the route of their job, not on the route of their path

Cause: a job's route is stored with it, but the runner looked for the route of each item anew, by host and path among the newest configuration's routes. An item whose longest prefix belonged to a live route was put back to the front of its job, and the job's route paused for a second, for ever; one whose longest prefix belonged to another batch route ran at that route's service.

Mend: the route is found by the stored name; if that is gone, it is the batch route of exactly the host and prefix at acceptance, which the job stores now (a new field at the end of Job and JobState; stored data of before is read, with an empty prefix). All items of a job depend on one route, so that no item at the front can hold back others that could run.

--- a/internal/batch/batch.go
+++ b/internal/batch/batch.go
@@ -23,11 +23,19 @@
 	Tokens     int64
 }
 
+// RouteRef identifies the route on which a job was accepted. It is stored with the job: the path of an item does not tell the route
+// again once the configuration has changed.
+type RouteRef struct {
+	Name string
+	// Host and Prefix are those of the route at the time. They identify it if it is renamed.
+	Host   string
+	Prefix string
+}
+
 // Job is a sequence of items that are submitted together.
 type Job struct {
 	Key   Key
-	Route string
-	Host  string
+	Route RouteRef
 	Items []Item
 }
 
@@ -101,7 +109,7 @@
 
 // Offer returns the offer of the job.
 func (s *Submit) Offer() Offer {
-	return Offer{Key: s.Job.Key, Route: s.Job.Route, Tokens: s.Job.Tokens(), MaxQueuedTokens: s.MaxQueuedTokens}
+	return Offer{Key: s.Job.Key, Route: s.Job.Route.Name, Tokens: s.Job.Tokens(), MaxQueuedTokens: s.MaxQueuedTokens}
 }
 
 // Outcome is the result of a command.
--- a/internal/batch/batchcall/codec_test.go
+++ b/internal/batch/batchcall/codec_test.go
@@ -13,7 +13,7 @@
 
 func TestRequestRoundTrip(t *testing.T) {
 	submit := &SubmitRequest{Partition: 3, MaxQueuedTokens: 9, Job: batch.Job{
-		Key: testKey, Route: "reports", Host: "a.example",
+		Key: testKey, Route: batch.RouteRef{Name: "reports", Host: "a.example", Prefix: "/reports/"},
 		Items: []batch.Item{{
 			Identifier: "e5", Path: "/reports/1?x=y", Body: []byte{0, 1}, Tokens: 940,
 			Headers: []batch.Header{{Name: "A", Value: "b"}},
--- a/internal/batch/batchwire/batchwire.capnp
+++ b/internal/batch/batchwire/batchwire.capnp
@@ -30,6 +30,7 @@
   route @1 :Text;
   host @2 :Text;
   items @3 :List(Item);
+  prefix @4 :Text;
 }
 
 enum State {
@@ -96,4 +97,5 @@
   ended @6 :Bool;
   items @7 :List(ItemState);
   positions @8 :List(UInt32);
+  prefix @9 :Text;
 }
--- a/internal/batch/golden_test.go
+++ b/internal/batch/golden_test.go
@@ -25,6 +25,11 @@
 	return Key{Tenant: "tenant " + digit, Identifier: "job " + digit}
 }
 
+func goldenRoute(number int) RouteRef {
+	digit := string(rune('0' + number))
+	return RouteRef{Name: "route " + digit, Host: "host-" + digit + ".example", Prefix: "/prefix/" + digit + "/"}
+}
+
 func TestCommandFormat(t *testing.T) {
 	clock := ClockReading{Source: 0x1112131415161718, Elapsed: 0x2122232425262728}
 	ended := goldenKey(7)
@@ -35,7 +40,7 @@
 	}{
 		{name: "tick", file: "command-tick.hex", want: Command{Clock: clock}},
 		{name: "take", file: "command-take.hex", want: Command{Clock: clock, Submit: &Submit{
-			Job:             Job{Key: goldenKey(1), Route: "route", Host: "host.example", Items: []Item{goldenItem(1), goldenItem(2)}},
+			Job:             Job{Key: goldenKey(1), Route: goldenRoute(1), Items: []Item{goldenItem(1), goldenItem(2)}},
 			MaxQueuedTokens: 0x3132333435363738,
 		}}},
 		{name: "append", file: "command-append.hex", want: Command{Clock: clock, Append: []Result{
@@ -83,7 +88,7 @@
 	m.clock = clock{now: 0x1112131415161718, last: ClockReading{Source: 0x2122232425262728, Elapsed: 0x3132333435363738}}
 	m.ordinal = 0x4142434445464748
 	running := &job{
-		key: goldenKey(1), route: "route 1", host: "host-1.example", ordinal: 0x5152535455565758, submittedAt: 0x6162636465666768, submitted: true,
+		key: goldenKey(1), route: goldenRoute(1), ordinal: 0x5152535455565758, submittedAt: 0x6162636465666768, submitted: true,
 		items: []item{
 			{Item: goldenItem(1), checkpoints: checkpoints{
 				{events: 0x71727374, lastEvent: "event 1", content: []byte("checkpoint 1")},
@@ -95,7 +100,7 @@
 		positions: []uint32{2, 1},
 	}
 	ended := &job{
-		key: goldenKey(2), route: "route 2", host: "host-2.example", ordinal: 0x5152535455565759, submittedAt: 3 * time.Second,
+		key: goldenKey(2), route: goldenRoute(2), ordinal: 0x5152535455565759, submittedAt: 3 * time.Second,
 		submitted: true, ended: true, items: []item{{Item: Item{Identifier: "ended", Tokens: 7}}}, positions: []uint32{},
 	}
 	endedBefore := &job{
--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -5,8 +5,7 @@
 // job is the state of a job.
 type job struct {
 	key         Key
-	route       string
-	host        string
+	route       RouteRef
 	ordinal     uint64 // jobs are numbered in the order in which they were added
 	submittedAt time.Duration
 	submitted   bool // false if only its end has been committed
@@ -24,7 +23,7 @@
 	checkpoints checkpoints
 }
 
-func (j *job) account() account { return account{tenant: j.key.Tenant, route: j.route} }
+func (j *job) account() account { return account{tenant: j.key.Tenant, route: j.route.Name} }
 
 // closed reports whether the job is ended or all of its items are listed, so that none will run or be listed any more.
 func (j *job) closed() bool { return j.ended || j.submitted && len(j.positions) == len(j.items) }
@@ -34,7 +33,6 @@
 func (j *job) fill(submitted *Job) {
 	j.submitted = true
 	j.route = submitted.Route
-	j.host = submitted.Host
 	j.items = make([]item, len(submitted.Items))
 	for i := range submitted.Items {
 		j.items[i].Item = submitted.Items[i]
--- a/internal/batch/job_codec.go
+++ b/internal/batch/job_codec.go
@@ -14,10 +14,7 @@
 	if err := EncodeKey(key, j.Key); err != nil {
 		return err
 	}
-	if err := job.SetRoute(j.Route); err != nil {
-		return err
-	}
-	if err := job.SetHost(j.Host); err != nil {
+	if err := encodeRoute(job, j.Route); err != nil {
 		return err
 	}
 	items, err := job.NewItems(int32(len(j.Items)))
@@ -32,6 +29,23 @@
 	return nil
 }
 
+// routeEncoder is a message with the fields of a RouteRef.
+type routeEncoder interface {
+	SetRoute(string) error
+	SetHost(string) error
+	SetPrefix(string) error
+}
+
+func encodeRoute(message routeEncoder, r RouteRef) error {
+	if err := message.SetRoute(r.Name); err != nil {
+		return err
+	}
+	if err := message.SetHost(r.Host); err != nil {
+		return err
+	}
+	return message.SetPrefix(r.Prefix)
+}
+
 // EncodeKey encodes a key into a message.
 func EncodeKey(key batchwire.Key, k Key) error {
 	if err := key.SetTenant(k.Tenant); err != nil {
@@ -76,10 +90,7 @@
 	if j.Key, err = DecodeKey(key); err != nil {
 		return j, err
 	}
-	if j.Route, err = job.Route(); err != nil {
-		return j, err
-	}
-	if j.Host, err = job.Host(); err != nil {
+	if j.Route, err = decodeRoute(job); err != nil {
 		return j, err
 	}
 	items, err := job.Items()
@@ -99,6 +110,24 @@
 	return j, nil
 }
 
+// routeDecoder is a message with the fields of a RouteRef. The prefix is empty in a message of a version that did not store it.
+type routeDecoder interface {
+	Route() (string, error)
+	Host() (string, error)
+	Prefix() (string, error)
+}
+
+func decodeRoute(message routeDecoder) (r RouteRef, err error) {
+	if r.Name, err = message.Route(); err != nil {
+		return r, err
+	}
+	if r.Host, err = message.Host(); err != nil {
+		return r, err
+	}
+	r.Prefix, err = message.Prefix()
+	return r, err
+}
+
 // DecodeKey decodes a key from a message.
 func DecodeKey(key batchwire.Key) (k Key, err error) {
 	if k.Tenant, err = key.Tenant(); err != nil {
--- a/internal/batch/machine_test.go
+++ b/internal/batch/machine_test.go
@@ -15,7 +15,7 @@
 
 // testJob returns a job whose items have 10 tokens each.
 func testJob(key Key, items int) Job {
-	job := Job{Key: key, Route: testRoute, Host: "a.example"}
+	job := Job{Key: key, Route: RouteRef{Name: testRoute, Host: "a.example", Prefix: "/reports/"}}
 	for i := range items {
 		job.Items = append(job.Items, Item{
 			Identifier: fmt.Sprintf("%s-item-%d", key.Identifier, i),
@@ -104,7 +104,7 @@
 		t.Errorf("outcome for another tenant: got %v, want Done", got)
 	}
 	otherRoute := testJob(testKey(2), 3)
-	otherRoute.Route = "letters"
+	otherRoute.Route.Name = "letters"
 	if got := submit(t, m, otherRoute, 30); got != Done {
 		t.Errorf("outcome on another route: got %v, want Done", got)
 	}
--- a/internal/batch/read.go
+++ b/internal/batch/read.go
@@ -67,8 +67,7 @@
 // PendingJob is a job that has items to run.
 type PendingJob struct {
 	Key         Key
-	Route       string
-	Host        string
+	Route       RouteRef
 	SubmittedAt time.Duration // by the partition's clock, see Now
 	Items       []PendingItem
 }
@@ -90,7 +89,7 @@
 	if found == nil || !found.submitted || found.closed() {
 		return PendingJob{}, false
 	}
-	pending := PendingJob{Key: found.key, Route: found.route, Host: found.host, SubmittedAt: found.submittedAt}
+	pending := PendingJob{Key: found.key, Route: found.route, SubmittedAt: found.submittedAt}
 	for i := range found.items {
 		waiting := &found.items[i]
 		if waiting.state != Waiting {
--- a/internal/batch/size.go
+++ b/internal/batch/size.go
@@ -11,6 +11,9 @@
 
 func textSize(text string) int { return len(text) + wordBytes }
 
+// routeSize returns an upper bound of the bytes of the fields of a RouteRef in a message.
+func routeSize(r RouteRef) int { return textSize(r.Name) + textSize(r.Host) + textSize(r.Prefix) }
+
 func dataSize(data []byte) int { return len(data) + wordBytes }
 
 // KeySize returns an upper bound of the bytes of a key in a message.
@@ -18,7 +21,7 @@
 
 // JobSize returns an upper bound of the bytes of a job in a message.
 func JobSize(j *Job) int {
-	size := structBytes + KeySize(j.Key) + textSize(j.Route) + textSize(j.Host) + pointerBytes
+	size := structBytes + KeySize(j.Key) + routeSize(j.Route) + pointerBytes
 	for i := range j.Items {
 		size += itemSize(&j.Items[i])
 	}
@@ -56,7 +59,7 @@
 }
 
 func jobStateSize(j *job) int {
-	size := messageBytes + KeySize(j.key) + textSize(j.route) + textSize(j.host) + 2*pointerBytes + 4*len(j.positions)
+	size := messageBytes + KeySize(j.key) + routeSize(j.route) + 2*pointerBytes + 4*len(j.positions)
 	for i := range j.items {
 		size += structBytes + itemSize(&j.items[i].Item) + dataSize(j.items[i].content)
 		size += checkpointsSize(j.items[i].checkpoints)
--- a/internal/batch/size_test.go
+++ b/internal/batch/size_test.go
@@ -19,7 +19,7 @@
 }
 
 func randomJob(random *rand.Rand) Job {
-	job := Job{Key: randomKey(random), Route: randomText(random), Host: randomText(random), Items: []Item{}}
+	job := Job{Key: randomKey(random), Route: RouteRef{Name: randomText(random), Host: randomText(random), Prefix: randomText(random)}, Items: []Item{}}
 	for range random.IntN(20) {
 		item := Item{Identifier: randomText(random), Path: randomText(random), Body: randomData(random), Tokens: random.Int64()}
 		for range random.IntN(20) {
--- a/internal/batch/snapshot_decoding.go
+++ b/internal/batch/snapshot_decoding.go
@@ -81,10 +81,7 @@
 	if j.key, err = DecodeKey(key); err != nil {
 		return nil, err
 	}
-	if j.route, err = root.Route(); err != nil {
-		return nil, err
-	}
-	if j.host, err = root.Host(); err != nil {
+	if j.route, err = decodeRoute(root); err != nil {
 		return nil, err
 	}
 	if err := decodeItemStates(root, j); err != nil {
--- a/internal/batchapi/client.go
+++ b/internal/batchapi/client.go
@@ -64,8 +64,7 @@
 	request := &batchcall.SubmitRequest{
 		Job: batch.Job{
 			Key:   batch.Key{Tenant: tenant, Identifier: job},
-			Route: route.Name,
-			Host:  route.Host,
+			Route: batch.RouteRef{Name: route.Name, Host: route.Host, Prefix: route.Prefix},
 			Items: items,
 		},
 		MaxQueuedTokens: c.maxQueuedTokens(route),
--- a/internal/batchapi/client_test.go
+++ b/internal/batchapi/client_test.go
@@ -93,7 +93,7 @@
 	return answer{reply: &batchcall.Reply{Redirect: &batchcall.Redirect{Epoch: epoch, Head: head}}}
 }
 
-var testRoute = &configuration.Route{Name: "reports", Host: "a.example", MaxQueuedTokens: 1000}
+var testRoute = &configuration.Route{Name: "reports", Host: "a.example", Prefix: "/reports/", MaxQueuedTokens: 1000}
 
 func submit(c *Client) error {
 	return c.Submit(context.Background(), testTenant, testRoute, "7c41", []byte(testBody))
@@ -109,7 +109,8 @@
 		t.Fatal(err)
 	}
 	item := request.Job.Items[0]
-	if request.Partition != 7 || request.MaxQueuedTokens != 1090 || request.Job.Host != "a.example" || request.Job.Route != "reports" ||
+	if request.Partition != 7 || request.MaxQueuedTokens != 1090 ||
+		request.Job.Route != (batch.RouteRef{Name: "reports", Host: "a.example", Prefix: "/reports/"}) ||
 		request.Job.Key != (batch.Key{Tenant: testTenant, Identifier: "7c41"}) {
 		t.Errorf("request: got %+v, want job 7c41 of %s in partition 7 with 1090 tokens allowed", request, testTenant)
 	}
--- a/internal/configuration/match.go
+++ b/internal/configuration/match.go
@@ -40,6 +40,14 @@
 // RouteByName returns the route with a name, nil if there is none.
 func (s *Snapshot) RouteByName(name string) *Route { return s.routesByName[name] }
 
+// RouteAt returns the route of a host, in lower case and without a port, and exactly a prefix, nil if there is none.
+func (s *Snapshot) RouteAt(host, prefix string) *Route {
+	if routes := s.hosts[host]; routes != nil {
+		return routes.byPrefix[prefix]
+	}
+	return nil
+}
+
 // ServiceByName returns the service with a name, nil if there is none.
 func (s *Snapshot) ServiceByName(name string) *Service { return s.servicesByName[name] }
 
--- a/internal/store/attempt.go
+++ b/internal/store/attempt.go
@@ -115,7 +115,7 @@
 	return &forward.Request{
 		Method:      http.MethodPost,
 		Target:      item.Path,
-		Host:        a.item.Job.Pending.Host,
+		Host:        a.item.Job.Pending.Route.Host,
 		Header:      header,
 		Body:        item.Body,
 		AttemptID:   item.Identifier,
@@ -128,7 +128,7 @@
 // attemptEnded takes back an item whose attempt has ended, and offers the capacity that it frees to the waiting runners.
 func (r *runner) attemptEnded(a *attempt, result attemptResult) {
 	r.finishAttempt(a, result)
-	r.config.retryQueue.Offer(a.item.Job.Pending.Route)
+	r.config.retryQueue.Offer(a.item.Job.Pending.Route.Name)
 }
 
 // finishAttempt frees the attempt's slot, and completes, abandons or delays its item if the job is still in the schedule.
--- a/internal/store/attempt_stream.go
+++ b/internal/store/attempt_stream.go
@@ -43,7 +43,7 @@
 	a.lastCheckpoint = now
 	a.hasFirstEvent.Store(true)
 	a.permit.Started(now)
-	a.runner.config.retryQueue.Offer(a.item.Job.Pending.Route)
+	a.runner.config.retryQueue.Offer(a.item.Job.Pending.Route.Name)
 }
 
 // checkpoint replicates the text received since the last checkpoint, once the checkpoint interval has passed, so that another head
--- a/internal/store/dispatch.go
+++ b/internal/store/dispatch.go
@@ -3,15 +3,13 @@
 import (
 	"context"
 	"math/rand/v2"
-	"strings"
 	"time"
 
 	"nickelline/internal/configuration"
 	"nickelline/internal/store/scheduler"
 )
 
-// unroutablePause is how long a route is paused if its item cannot be sent although the route exists: no batch route matches the
-// item's host and path, or the matching route has no service.
+// unroutablePause is how long a route is paused if it has no service to send its items to.
 const unroutablePause = time.Second
 
 // dispatch sends waiting items until none is left that may be sent now.
@@ -59,36 +57,21 @@
 
 // sendNext sends the next item. It returns false if no item may be sent now. The caller holds the mutex.
 func (r *runner) sendNext(ctx context.Context, snapshot *configuration.Snapshot) bool {
-	now := time.Now()
-	item := r.schedule.Next(now)
+	item := r.schedule.Next(time.Now())
 	if item == nil {
 		return false
 	}
-	route := batchRouteOf(snapshot, item)
-	switch {
-	case route != nil:
-		return r.send(ctx, snapshot, route, item)
-	case snapshot.RouteByName(item.Job.Pending.Route) != nil:
-		r.hold(item, heldByRoute, now.Add(unroutablePause))
-	default:
+	route := routeOf(snapshot, &item.Job.Pending)
+	if route == nil {
 		r.abandonItem(ctx, item)
+		return true
 	}
-	return true
-}
-
-// batchRouteOf returns the batch route that matches an item's host and path, or nil if there is none.
-func batchRouteOf(snapshot *configuration.Snapshot, item *scheduler.Item) *configuration.Route {
-	path, _, _ := strings.Cut(item.Pending.Path, "?")
-	route := snapshot.Match(item.Job.Pending.Host, path)
-	if route == nil || route.Kind != configuration.Batch {
-		return nil
-	}
-	return route
+	return r.send(ctx, snapshot, route, item)
 }
 
 // hold returns an item that cannot be sent to the schedule, and pauses its route.
 func (r *runner) hold(item *scheduler.Item, reason holdReason, until time.Time) {
-	route := item.Job.Pending.Route
+	route := item.Job.Pending.Route.Name
 	r.config.held.record(route, reason)
 	r.schedule.GiveBack(item)
 	r.schedule.PauseRoute(route, until)
@@ -104,7 +87,7 @@
 		return true
 	}
 	if !r.config.slots.TryAcquire(r) {
-		r.config.held.record(item.Job.Pending.Route, heldBySlots)
+		r.config.held.record(item.Job.Pending.Route.Name, heldBySlots)
 		r.schedule.GiveBack(item) // Slots.Release wakes the loop
 		return false
 	}
@@ -113,7 +96,7 @@
 		r.config.slots.Release()
 		item.AvoidBackend = ""
 		r.hold(item, heldByAdmission, now.Add(scheduler.RefusalPause(refusal.RetryAfter)))
-		r.enterRetryQueue(item.Job.Pending.Route)
+		r.enterRetryQueue(item.Job.Pending.Route.Name)
 		return true
 	}
 	a := newAttempt(ctx, r, item, route, backend, permit)
--- a/internal/store/fixture_test.go
+++ b/internal/store/fixture_test.go
@@ -37,7 +37,7 @@
 
 // testJob returns a job whose items each ask the fake backend for a number of events.
 func testJob(key batch.Key, items, events int) batch.Job {
-	job := batch.Job{Key: key, Route: testRoute, Host: testHost}
+	job := batch.Job{Key: key, Route: batch.RouteRef{Name: testRoute, Host: testHost, Prefix: testPrefix}}
 	for i := range items {
 		job.Items = append(job.Items, batch.Item{
 			Identifier: fmt.Sprintf("%s-%s-%d", key.Tenant, key.Identifier, i),
--- a/internal/store/job_review.go
+++ b/internal/store/job_review.go
@@ -28,7 +28,7 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	for j := range r.schedule.Jobs() {
-		route := snapshot.RouteByName(j.Pending.Route)
+		route := routeOf(snapshot, &j.Pending)
 		if route == nil {
 			continue
 		}
@@ -51,7 +51,7 @@
 func (r *runner) urgencyOf(route *configuration.Route, j *scheduler.Job, age time.Duration) scheduler.Urgency {
 	var queuedTokens int64
 	if route.MaxQueuedTokens > 0 {
-		queuedTokens = r.queuedTokens(j.Pending.Key.Tenant, j.Pending.Route)
+		queuedTokens = r.queuedTokens(j.Pending.Key.Tenant, j.Pending.Route.Name)
 	}
 	return scheduler.UrgencyOf(route, age, queuedTokens)
 }
--- /dev/null
+++ b/internal/store/job_route.go
@@ -0,0 +1,20 @@
+package store
+
+import (
+	"nickelline/internal/batch"
+	"nickelline/internal/configuration"
+)
+
+// routeOf returns the route of a job: the one that has the name under which the job was accepted, wherever that route is now, and
+// whatever its kind. If there is none of that name, it is the batch route that has the same host and prefix, because a route can be
+// renamed. It is nil if the route has ended. The paths of the items do not matter: by them, an item could belong to another route.
+func routeOf(snapshot *configuration.Snapshot, job *batch.PendingJob) *configuration.Route {
+	if named := snapshot.RouteByName(job.Route.Name); named != nil {
+		return named
+	}
+	renamed := snapshot.RouteAt(job.Route.Host, job.Route.Prefix)
+	if renamed == nil || renamed.Kind != configuration.Batch {
+		return nil
+	}
+	return renamed
+}
--- a/internal/store/scheduler/queue.go
+++ b/internal/store/scheduler/queue.go
@@ -74,7 +74,7 @@
 	var found *Job
 	for _, owner := range q.tenants {
 		for _, j := range owner.jobs {
-			if len(j.waiting) == 0 || j.Pending.Route != route {
+			if len(j.waiting) == 0 || j.Pending.Route.Name != route {
 				continue
 			}
 			if found == nil || j.Urgency.before(found.Urgency) {
--- a/internal/store/scheduler/queue_test.go
+++ b/internal/store/scheduler/queue_test.go
@@ -10,7 +10,7 @@
 
 // newTestJob returns a job of a tenant, on a route named like the tenant. Its items are named by tenant, job and index: "a1.0".
 func newTestJob(tenant string, job, items int) *Job {
-	pending := batch.PendingJob{Key: batch.Key{Tenant: tenant, Identifier: fmt.Sprint(job)}, Route: tenant}
+	pending := batch.PendingJob{Key: batch.Key{Tenant: tenant, Identifier: fmt.Sprint(job)}, Route: batch.RouteRef{Name: tenant}}
 	for i := range items {
 		item := batch.Item{Identifier: fmt.Sprintf("%s%d.%d", tenant, job, i)}
 		pending.Items = append(pending.Items, batch.PendingItem{Index: uint32(i), Item: item})
@@ -47,7 +47,7 @@
 	q := &queue{}
 	q.add(newTestJob("a", 1, 2))
 	q.add(newTestJob("b", 1, 2))
-	notRouteA := func(j *Job) bool { return j.Pending.Route != "a" }
+	notRouteA := func(j *Job) bool { return j.Pending.Route.Name != "a" }
 	checkOrder(t, q, notRouteA, []string{"b1.0", "b1.1"}, 2)
 }
 
--- a/internal/store/scheduler/schedule.go
+++ b/internal/store/scheduler/schedule.go
@@ -60,7 +60,7 @@
 
 // Next removes and returns the item that runs next, or nil if none may run now. Items of late jobs run only if no other item may.
 func (s *Schedule) Next(now time.Time) *Item {
-	mayRun := func(j *Job) bool { return !s.pausedUntil[j.Pending.Route].After(now) }
+	mayRun := func(j *Job) bool { return !s.pausedUntil[j.Pending.Route.Name].After(now) }
 	inTime := func(j *Job) bool { return !j.Urgency.Late && mayRun(j) }
 	if item := s.queue.pop(inTime); item != nil {
 		return item
@@ -106,17 +106,17 @@
 func (s *Schedule) CountByRoute() map[string]RouteCounts {
 	counts := map[string]RouteCounts{}
 	for _, j := range s.jobs {
-		count := counts[j.Pending.Route]
+		count := counts[j.Pending.Route.Name]
 		count.Waiting += len(j.waiting)
 		if j.Urgency.Late {
 			count.Late += len(j.waiting)
 		}
-		counts[j.Pending.Route] = count
+		counts[j.Pending.Route.Name] = count
 	}
 	for _, d := range s.delayed {
-		count := counts[d.item.Job.Pending.Route]
+		count := counts[d.item.Job.Pending.Route.Name]
 		count.Waiting++
-		counts[d.item.Job.Pending.Route] = count
+		counts[d.item.Job.Pending.Route.Name] = count
 	}
 	return counts
 }
--- a/internal/store/stats.go
+++ b/internal/store/stats.go
@@ -55,8 +55,8 @@
 		routes[route] = stats
 	}
 	for item := range r.running {
-		stats := routes[item.Job.Pending.Route]
+		stats := routes[item.Job.Pending.Route.Name]
 		stats.Running++
-		routes[item.Job.Pending.Route] = stats
+		routes[item.Job.Pending.Route.Name] = stats
 	}
 }
--- a/internal/store/stored_data_test.go
+++ b/internal/store/stored_data_test.go
@@ -60,7 +60,10 @@
 
 // storedJob returns a submission of a job whose items differ in each field.
 func storedJob(key batch.Key, items int) *batch.Submit {
-	job := batch.Job{Key: key, Route: "route of " + key.Identifier, Host: strings.ReplaceAll(key.Identifier, " ", "-") + ".example"}
+	job := batch.Job{Key: key, Route: batch.RouteRef{
+		Name: "route of " + key.Identifier,
+		Host: strings.ReplaceAll(key.Identifier, " ", "-") + ".example",
+	}}
 	for i := range items {
 		job.Items = append(job.Items, batch.Item{
 			Identifier: fmt.Sprintf("item %d", i),
@@ -331,8 +334,8 @@
 	if !ok {
 		return
 	}
-	fmt.Fprintf(text, "  open: route %q, host %q, born %s, queued tokens %d\n", open.Route, open.Host, describeSubmittedAt(open.SubmittedAt),
-		m.QueuedTokens(key.Tenant, open.Route))
+	fmt.Fprintf(text, "  open: route %q, host %q, born %s, queued tokens %d\n", open.Route.Name, open.Route.Host, describeSubmittedAt(open.SubmittedAt),
+		m.QueuedTokens(key.Tenant, open.Route.Name))
 	for _, item := range open.Items {
 		fmt.Fprintf(text, "  item %d: %s %s %q %q tokens %d, %d events up to %q\n", item.Index, item.Identifier, item.Path,
 			item.Headers, item.Body, item.Tokens, item.Events, item.LastEvent)
