Proxy: a submission on a public batch route belongs to the tenant of its key

Cause: two places asked who the caller is. A submission was identified like a live request, on a public route as nobody; later calls, which name no route, as the tenant of the key. The job was stored under the empty tenant and looked for under the key's.

Mend: one function, jobOwner, decides for both: the tenant of the key, or nobody without one. A job that a public route took without a key can now be read and ended, without one; a caller without a key still gets 401 for all other jobs and changes nothing. A submission with an unknown key gets 401, as no later call with it could find the job.

--- a/internal/proxy/auth.go
+++ b/internal/proxy/auth.go
@@ -5,21 +5,25 @@
 	"nickelline/internal/fault"
 )
 
-// tenantFor returns the tenant whose API key a request carries, or nil if the route needs no key.
+// tenantFor returns the tenant whose API key a request carries, or nil if the route needs no key. A submission on a public batch
+// route is identified like the later calls about its job, which name no route.
 func (p *Proxy) tenantFor(current *configuration.Current, route *configuration.Route, r *request) (*configuration.Tenant, error) {
-	if route.Public || !current.RequiresKey() {
+	switch {
+	case route.Public && route.Kind == configuration.Batch:
+		return p.jobOwner(current, r)
+	case route.Public || !current.RequiresKey():
 		return nil, nil
 	}
 	return p.authenticate(current, r.key())
 }
 
-// batchTenant returns the name of the tenant whose API key a batch API request carries. It is empty if no key is needed.
-func (p *Proxy) batchTenant(current *configuration.Current, r *request) (string, error) {
-	if !current.RequiresKey() {
-		return "", nil
+// jobOwner returns the tenant whose jobs a batch API request is about: the one whose API key the request carries, or nil, which owns
+// the jobs that were submitted without a key.
+func (p *Proxy) jobOwner(current *configuration.Current, r *request) (*configuration.Tenant, error) {
+	if !current.RequiresKey() || r.key() == "" {
+		return nil, nil
 	}
-	tenant, err := p.authenticate(current, r.key())
-	return tenantName(tenant), err
+	return p.authenticate(current, r.key())
 }
 
 // authenticate returns the tenant that an API key belongs to. It fails unless the configuration is proved to be current.
--- a/internal/proxy/batch.go
+++ b/internal/proxy/batch.go
@@ -87,7 +87,7 @@
 		w.writeError(err)
 		return
 	}
-	tenant, err := p.batchTenant(current, r)
+	tenant, err := p.jobOwner(current, r)
 	if err != nil {
 		w.writeError(err)
 		return
@@ -96,6 +96,7 @@
 		w.writeError(fault.New(fault.NotReady, "batch jobs are not served"))
 		return
 	}
+	jobs := ownedJobs{api: p.options.Batch, tenant: tenantName(tenant), hidden: tenant == nil && current.RequiresKey()}
 	query, err := url.ParseQuery(r.query())
 	if err != nil {
 		w.writeError(fault.Wrap(fault.BadRequest, err))
@@ -104,22 +105,22 @@
 	ctx, cancel := context.WithDeadline(ctx, r.startedAt.Add(r.clientTimeout(defaultBatchTimeout)+maxResultsWait))
 	defer cancel()
 	if jobOfItem, found := strings.CutPrefix(r.path, itemPrefix); found {
-		p.serveItemBody(ctx, r, w, tenant, jobOfItem, query)
+		jobs.serveItemBody(ctx, r, w, jobOfItem, query)
 		return
 	}
 	job := strings.TrimPrefix(r.path, jobPrefix)
 	switch r.method {
 	case http.MethodGet:
-		p.serveResults(ctx, r, w, tenant, job, query)
+		jobs.serveResults(ctx, r, w, job, query)
 	case http.MethodDelete:
-		p.serveEnd(ctx, w, tenant, job)
+		jobs.serveEnd(ctx, w, job)
 	default:
 		w.writeError(fault.New(fault.BadRequest, "method is not supported for batch jobs"))
 	}
 }
 
 // serveResults serves a request for results.
-func (p *Proxy) serveResults(ctx context.Context, r *request, w *responseWriter, tenant, job string, query url.Values) {
+func (o *ownedJobs) serveResults(ctx context.Context, r *request, w *responseWriter, job string, query url.Values) {
 	startAfter := 0
 	if text := query.Get("startAfter"); text != "" {
 		value, err := strconv.Atoi(text)
@@ -129,7 +130,7 @@
 		}
 		startAfter = value
 	}
-	page, err := p.options.Batch.Results(ctx, tenant, job, startAfter, r.resultsWait())
+	page, err := o.results(ctx, job, startAfter, r.resultsWait())
 	if err != nil {
 		w.writeError(err)
 		return
@@ -143,12 +144,12 @@
 }
 
 // serveItemBody serves a request for the body of an item of a job; the query names the item.
-func (p *Proxy) serveItemBody(ctx context.Context, r *request, w *responseWriter, tenant, job string, query url.Values) {
+func (o *ownedJobs) serveItemBody(ctx context.Context, r *request, w *responseWriter, job string, query url.Values) {
 	if r.method != http.MethodGet {
 		w.writeError(fault.New(fault.BadRequest, "method is not supported for batch items"))
 		return
 	}
-	body, err := p.options.Batch.ItemBody(ctx, tenant, job, query.Get("identifier"))
+	body, err := o.itemBody(ctx, job, query.Get("identifier"))
 	if err != nil {
 		w.writeError(err)
 		return
@@ -157,8 +158,8 @@
 }
 
 // serveEnd serves a request to end a job.
-func (p *Proxy) serveEnd(ctx context.Context, w *responseWriter, tenant, job string) {
-	if err := p.options.Batch.End(ctx, tenant, job); err != nil {
+func (o *ownedJobs) serveEnd(ctx context.Context, w *responseWriter, job string) {
+	if err := o.end(ctx, job); err != nil {
 		w.writeError(err)
 		return
 	}
