Store: jobs of a former head grow older though nothing is committed

Callers would see: after a change of the head, a job none of whose items can run is not given up at retentionS, and closed jobs are kept, until something else is committed in the partition.

Cause: the partition's clock counts the time since the last command of the same head; nothing of the new head is committed while all items wait.

Evidence: TestJobsOfAFormerHeadGrowOlder without the mend: 'results in time: got 0, want 1' after 6 s with a retention of 1 s.

Mend: a new head that finds jobs commits a command that only advances the clock, once a term.

--- a/internal/store/runner.go
+++ b/internal/store/runner.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"go.uber.org/zap"
+
 	"nickelline/internal/batch"
 	"nickelline/internal/pause"
 	"nickelline/internal/store/scheduler"
@@ -26,7 +28,7 @@
 //
 // Goroutines: hostedPartition starts run and waits for its end. run starts one goroutine for each attempt, which calls
 // attemptEnded as its last step and may outlive run shortly; the contexts of the attempts end with that of run. The appender has a
-// goroutine while there are results to append; run waits for its end.
+// goroutine while there are results to append, and startClock runs on its own; run waits for the end of both.
 type runner struct {
 	config    *runnerConfig
 	partition *partition
@@ -67,9 +69,28 @@
 	}
 	defer r.leaveRetryQueue()
 	defer r.appender.close()
+	var clockStarted sync.WaitGroup
+	defer clockStarted.Wait()
+	clockStarted.Go(func() { r.startClock(ctx) })
 	r.loop(ctx)
 }
 
+// startClock commits a command that only advances the clock, if there are any jobs. The partition's clock counts the time since the
+// last command of the same head: without one of this head, jobs of former heads would not grow older until something is committed.
+func (r *runner) startClock(ctx context.Context) {
+	if r.keptJobs() == 0 {
+		return
+	}
+	for ctx.Err() == nil {
+		_, err := r.partition.proposeInTerm(ctx, r.appender.term, &batch.Command{})
+		if err == nil {
+			return
+		}
+		r.config.log.Debug("start clock failed", zap.Uint32("partition", r.partition.number), zap.Error(err))
+		pause.For(ctx, appendRetryPause)
+	}
+}
+
 // awaitApplied waits for a barrier, and reports whether everything that former heads committed has been applied here.
 func (r *runner) awaitApplied(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, barrierTimeout)
@@ -124,10 +145,14 @@
 
 // idleSleep returns how long the loop may sleep while there is nothing to run.
 func (r *runner) idleSleep(now time.Time) time.Duration {
-	kept := 0
-	r.partition.state.read(func(m *batch.Machine) { kept = m.Jobs() })
-	if kept == 0 {
+	if r.keptJobs() == 0 {
 		return maxSleep
 	}
 	return max(r.lastDrop.Add(dropInterval).Sub(now), minSleep)
 }
+
+// keptJobs returns the number of jobs that have not been dropped.
+func (r *runner) keptJobs() (kept int) {
+	r.partition.state.read(func(m *batch.Machine) { kept = m.Jobs() })
+	return kept
+}
--- a/internal/store/runner_test.go
+++ b/internal/store/runner_test.go
@@ -131,6 +131,19 @@
 	}
 }
 
+// TestJobsOfAFormerHeadGrowOlder guards against jobs that a new head never gives up, because the partition's clock does not advance
+// while nothing is committed.
+func TestJobsOfAFormerHeadGrowOlder(t *testing.T) {
+	f := newFixture(t, 1)
+	f.configure(testConfiguration(t, testPrefix, 2, 1), true)
+	f.admission.refuse = true
+	job := testJob(testKey(1), 1, 2)
+	f.submit(job)
+	f.partition.clock = newHeadClock() // of the next head
+	f.start()
+	checkAbandoned(t, f.results(job.Key, 1)[0])
+}
+
 func TestClosedJobsAreDropped(t *testing.T) {
 	f := newFixture(t, 1)
 	f.config.statusInterval = 0
