Store: a route has ended only by a configuration that is newer than the job

Callers would see: items of a job on a route that was just added listed as abandoned, though neither the job nor the route has ended.

Cause: a store whose configuration is older than the job's route takes the route for removed.

Evidence: TestStaleConfigurationDoesNotEndARoute without the mend: three items abandoned instead of completed.

--- a/cmd/nickelline/store.go
+++ b/cmd/nickelline/store.go
@@ -139,12 +139,12 @@
 
 // provenConfiguration returns a function that returns the configuration and whether it is proven to be current: the proof of
 // that version is at most maxAge old, or maxAge is 0. Before the first configuration it returns nil and false.
-func provenConfiguration(state *nodestate.State, maxAge time.Duration) func() (*configuration.Snapshot, bool) {
-	return func() (*configuration.Snapshot, bool) {
+func provenConfiguration(state *nodestate.State, maxAge time.Duration) func() (*configuration.Current, bool) {
+	return func() (*configuration.Current, bool) {
 		current := state.Configuration()
 		if current == nil {
 			return nil, false
 		}
-		return current.Snapshot, maxAge == 0 || current.ProofAge() <= maxAge
+		return current, maxAge == 0 || current.ProofAge() <= maxAge
 	}
 }
--- a/cmd/nickelline/store_test.go
+++ b/cmd/nickelline/store_test.go
@@ -85,8 +85,8 @@
 func TestNoConfigurationIsNotProven(t *testing.T) {
 	state := nodestate.New(nodestate.Options{Node: "n", Zone: "z", Source: &fakeSource{subscribers: map[gossip.Topic]func(gossip.Value){}}, Log: zap.NewNop()})
 	for _, maxAge := range []time.Duration{0, time.Second} {
-		if snapshot, proven := provenConfiguration(state, maxAge)(); snapshot != nil || proven {
-			t.Errorf("before the first configuration, with maximum age %v: got %v, proven %v, want nil, not proven", maxAge, snapshot, proven)
+		if current, proven := provenConfiguration(state, maxAge)(); current != nil || proven {
+			t.Errorf("before the first configuration, with maximum age %v: got %v, proven %v, want nil, not proven", maxAge, current, proven)
 		}
 	}
 }
--- a/internal/store/dispatch.go
+++ b/internal/store/dispatch.go
@@ -17,15 +17,15 @@
 	if !r.hasItemsToSend(time.Now()) {
 		return
 	}
-	snapshot, current := r.config.configuration()
-	if !current || !r.mayActAsHead(ctx) {
+	current, proven := r.config.configuration()
+	if !proven || !r.mayActAsHead(ctx) {
 		r.suspend(time.Now().Add(unconfirmedPause))
 		return
 	}
 	r.endPauses(time.Now())
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	for r.sendNext(ctx, snapshot) {
+	for r.sendNext(ctx, current) {
 	}
 }
 
@@ -56,17 +56,22 @@
 }
 
 // sendNext sends the next item. It returns false if no item may be sent now. The caller holds the mutex.
-func (r *runner) sendNext(ctx context.Context, snapshot *configuration.Snapshot) bool {
-	item := r.schedule.Next(time.Now())
+func (r *runner) sendNext(ctx context.Context, current *configuration.Current) bool {
+	now := time.Now()
+	item := r.schedule.Next(now)
 	if item == nil {
 		return false
 	}
-	route := routeOf(snapshot, &item.Job.Pending)
-	if route == nil {
+	route := routeOf(current.Snapshot, &item.Job.Pending)
+	switch {
+	case route != nil:
+		return r.send(ctx, current.Snapshot, route, item)
+	case r.mayPredate(current, &item.Job.Pending, now):
+		r.hold(item, heldByRoute, now.Add(unconfirmedPause))
+	default:
 		r.abandonItem(ctx, item)
-		return true
 	}
-	return r.send(ctx, snapshot, route, item)
+	return true
 }
 
 // hold returns an item that cannot be sent to the schedule, and pauses its route.
--- a/internal/store/fixture_test.go
+++ b/internal/store/fixture_test.go
@@ -75,6 +75,7 @@
 	mutex         sync.Mutex
 	configuration *configuration.Snapshot
 	current       bool
+	proofAge      time.Duration // age of the proof that the configuration is current
 }
 
 func testConfiguration(t testing.TB, prefix string, maxAttempts int, retention float64) *configuration.Snapshot {
@@ -144,10 +145,11 @@
 	return f
 }
 
-func (f *fixture) configured() (*configuration.Snapshot, bool) {
+func (f *fixture) configured() (*configuration.Current, bool) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	return f.configuration, f.current
+	age := f.proofAge
+	return &configuration.Current{Snapshot: f.configuration, ProofAge: func() time.Duration { return age }}, f.current
 }
 
 func (f *fixture) configure(s *configuration.Snapshot, current bool) {
--- a/internal/store/job_review.go
+++ b/internal/store/job_review.go
@@ -20,15 +20,15 @@
 
 // reviewJobs updates the urgency of all jobs, and abandons waiting items of jobs that are older than their route's retention.
 func (r *runner) reviewJobs(ctx context.Context, now time.Time) {
-	snapshot, current := r.config.configuration()
-	if !current {
+	current, proven := r.config.configuration()
+	if !proven {
 		return
 	}
 	clock := r.partitionTime(now)
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	for j := range r.schedule.Jobs() {
-		route := routeOf(snapshot, &j.Pending)
+		route := routeOf(current.Snapshot, &j.Pending)
 		if route == nil {
 			continue
 		}
--- a/internal/store/job_route.go
+++ b/internal/store/job_route.go
@@ -1,6 +1,8 @@
 package store
 
 import (
+	"time"
+
 	"nickelline/internal/batch"
 	"nickelline/internal/configuration"
 )
@@ -18,3 +20,9 @@
 	}
 	return renamed
 }
+
+// mayPredate reports whether the configuration may be older than the one under which a job was accepted. It is not if it has been
+// proven to be the newest one since the job was accepted.
+func (r *runner) mayPredate(current *configuration.Current, job *batch.PendingJob, now time.Time) bool {
+	return current.ProofAge() >= r.partitionTime(now)-job.SubmittedAt
+}
--- a/internal/store/job_route_test.go
+++ b/internal/store/job_route_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"strings"
 	"testing"
+	"time"
 
 	"nickelline/internal/configuration"
 )
@@ -94,3 +95,37 @@
 		})
 	}
 }
+
+// TestStaleConfigurationDoesNotEndARoute guards against items that are given up by a store that has not heard of their route yet: its
+// configuration is older than the one under which the job was accepted.
+func TestStaleConfigurationDoesNotEndARoute(t *testing.T) {
+	f := newFixture(t, 1)
+	f.proofAge = time.Hour
+	f.configure(configurationWithoutBatch(t), true)
+	job := testJob(testKey(1), 3, 2)
+	f.submit(job)
+	f.start()
+	f.eventually("the items are held back", func() bool { return f.config.held.byRoute()[testRoute][string(heldByRoute)] >= 3 })
+	f.configure(testConfiguration(t, testPrefix, 2, 40), true)
+	for _, result := range f.results(job.Key, 3) {
+		checkCompleted(t, result, 2)
+	}
+}
+
+// TestProvenConfigurationEndsARoute is the counterpart: a configuration that was proven to be the newest since the job was accepted.
+func TestProvenConfigurationEndsARoute(t *testing.T) {
+	f := newFixture(t, 1)
+	f.proofAge = 200 * time.Millisecond
+	f.configure(configurationWithoutBatch(t), true)
+	job := testJob(testKey(1), 3, 2)
+	began := time.Now()
+	f.submit(job)
+	f.start()
+	for _, result := range f.results(job.Key, 3) {
+		checkAbandoned(t, result)
+	}
+	if got := time.Since(began); got < f.proofAge {
+		t.Errorf("abandoned after %v, want no earlier than %v", got, f.proofAge)
+	}
+	checkRequests(t, f.backends[0], 0)
+}
--- a/internal/store/options.go
+++ b/internal/store/options.go
@@ -32,7 +32,7 @@
 	Admission Admission
 	Sender    Sender
 	// Configuration returns the configuration, and whether it is confirmed to be as current as live requests require.
-	Configuration func() (*configuration.Snapshot, bool)
+	Configuration func() (*configuration.Current, bool)
 	// ControlNodes returns the internal addresses of the control nodes that are alive, those in the store's own zone first.
 	ControlNodes func() []netip.AddrPort
 	// ReportInterval is how often the progress of the partitions is reported to the control nodes, in addition to after changes.
--- a/internal/store/runner_config.go
+++ b/internal/store/runner_config.go
@@ -35,7 +35,7 @@
 	admission Admission
 	sender    Sender
 	// configuration returns the configuration, and whether it is confirmed to be as current as live requests require.
-	configuration func() (*configuration.Snapshot, bool)
+	configuration func() (*configuration.Current, bool)
 	// sendConfirmationAge is the age that the confirmation of leadership must be below to send an item.
 	sendConfirmationAge time.Duration
 	// stepDownAfter is the age of the confirmation at which running items are cancelled, because another store may be the head.
@@ -59,7 +59,7 @@
 	return &runnerConfig{
 		admission:           o.Admission,
 		sender:              o.Sender,
-		configuration:       requireSnapshot(o.Configuration),
+		configuration:       requireConfiguration(o.Configuration),
 		sendConfirmationAge: cancellation / sendConfirmationDivisor,
 		stepDownAfter:       cancellation,
 		statusInterval:      status + statusMargin,
@@ -78,11 +78,11 @@
 	return max(min(limit, maxRunningItems), 1)
 }
 
-// requireSnapshot wraps a function that returns the configuration: a configuration that has not arrived yet is never current.
-func requireSnapshot(configured func() (*configuration.Snapshot, bool)) func() (*configuration.Snapshot, bool) {
-	return func() (*configuration.Snapshot, bool) {
-		snapshot, current := configured()
-		return snapshot, current && snapshot != nil
+// requireConfiguration wraps a function that returns the configuration: one that has not arrived yet is never confirmed.
+func requireConfiguration(configured func() (*configuration.Current, bool)) func() (*configuration.Current, bool) {
+	return func() (*configuration.Current, bool) {
+		current, proven := configured()
+		return current, proven && current != nil
 	}
 }
 
--- a/internal/store/stored_data_test.go
+++ b/internal/store/stored_data_test.go
@@ -257,7 +257,7 @@
 		MinimumReplicas: 1,
 		MemoryMB:        344,
 		Admission:       &fakeAdmission{refuse: true},
-		Configuration:   func() (*configuration.Snapshot, bool) { return nil, false },
+		Configuration:   func() (*configuration.Current, bool) { return nil, false },
 		ControlNodes:    func() []netip.AddrPort { return nil },
 		ReportInterval:  time.Hour,
 		Log:             zap.NewNop(),
