Control: a change is acknowledged only if what it results in can be read by all

Cause: a patch could name any field; the merged document was checked beside a version held in memory, and what all processes are sent was never read.

Mend: a patch changes only routes, services, tenants and lists that the document has; other names and unknown fields get a 400 that names them. Before a change is proposed, its result is encoded and read by the function that proxies and stores use (configuration.Read). The check at each replica compares the version field with the version. A version that a process cannot read is counted.

--- a/cmd/nickelline/config.go
+++ b/cmd/nickelline/config.go
@@ -202,15 +202,13 @@
 	if err != nil {
 		return nil, err
 	}
-	return configuration.Compile(patched)
+	_, snapshot, err := configuration.Read(patched.Encode())
+	return snapshot, err
 }
 
 func compileDocument(body []byte) (*configuration.Snapshot, error) {
-	document, err := configuration.Parse(body)
-	if err != nil {
-		return nil, err
-	}
-	return configuration.Compile(document)
+	_, snapshot, err := configuration.Read(body)
+	return snapshot, err
 }
 
 func newCheckResult(snapshot *configuration.Snapshot, err error) checkResult {
--- a/cmd/nickelline/metrics.go
+++ b/cmd/nickelline/metrics.go
@@ -61,6 +61,7 @@
 // poolMetrics returns a source of the metrics of the admission pools.
 func poolMetrics(state *nodestate.State) metrics.Source {
 	return func(w *metrics.Writer) {
+		w.Counter("nickelline_unreadable_versions_total", state.UnreadableVersions())
 		pools := state.Pools()
 		for _, service := range slices.Sorted(maps.Keys(pools)) {
 			writePool(w, metrics.Label{Name: "service", Value: service}, pools[service].Stats(time.Now()))
--- a/internal/configuration/compile.go
+++ b/internal/configuration/compile.go
@@ -33,6 +33,7 @@
 // compile returns the snapshot of a document, and adds the problems of the document to the collector.
 func compile(d *Document, collector *problemCollector) (*Snapshot, error) {
 	c := newCompiler(d, collector)
+	c.checkVersion()
 	c.compileServices()
 	c.compileRoutes()
 	c.compileTenants()
@@ -63,6 +64,13 @@
 	}
 }
 
+// checkVersion records a problem if the version field is not the version of the document, by which it is ordered.
+func (c *compiler) checkVersion() {
+	if version := c.root.version(); version != c.snapshot.Version {
+		c.root.field(versionField).addProblem("it is %d, not %d", version, c.snapshot.Version)
+	}
+}
+
 // requiredList returns the elements of a top-level list, and records a problem if the list is missing.
 func (c *compiler) requiredList(name string) []node {
 	list := c.root.field(name)
--- a/internal/configuration/document.go
+++ b/internal/configuration/document.go
@@ -39,6 +39,20 @@
 	return &Document{version: version, root: root}, nil
 }
 
+// Read decodes a whole document, checks it and compiles it. It is how every process reads a configuration: what it refuses must never
+// be in force. Errors are of kind fault.InvalidConfiguration.
+func Read(encoded []byte) (*Document, *Snapshot, error) {
+	document, err := Parse(encoded)
+	if err != nil {
+		return nil, nil, err
+	}
+	snapshot, err := Compile(document)
+	if err != nil {
+		return nil, nil, err
+	}
+	return document, snapshot, nil
+}
+
 // Version returns the version that the document carries.
 func (d *Document) Version() uint64 { return d.version }
 
--- a/internal/configuration/node.go
+++ b/internal/configuration/node.go
@@ -1,6 +1,10 @@
 package configuration
 
-import "strconv"
+import (
+	"maps"
+	"slices"
+	"strconv"
+)
 
 // node is a value of a document, with its path for the texts of problems.
 type node struct {
@@ -49,6 +53,16 @@
 	return true
 }
 
+// allowFields records a problem for each field of an object that has none of the given names.
+func (n node) allowFields(names ...string) {
+	object, _ := n.value.(map[string]any)
+	for _, name := range slices.Sorted(maps.Keys(object)) {
+		if !slices.Contains(names, name) {
+			n.field(name).addProblem("there is no such field")
+		}
+	}
+}
+
 // list returns the elements of a list; none if absent.
 func (n node) list() []node {
 	if n.isAbsent() {
--- a/internal/configuration/patch.go
+++ b/internal/configuration/patch.go
@@ -46,19 +46,23 @@
 // Version returns the version that a patched document has.
 func (p *Patch) Version() uint64 { return p.version }
 
-// Patch returns the document with a patch, given as JSON, merged into it. The result may be invalid: the caller must Check it.
+// Patch returns the document with a patch, given as JSON, merged into it. The result may be invalid: the caller must Read what it
+// encodes to.
 func (d *Document) Patch(body []byte) (*Document, error) {
 	patch, err := ParsePatch(body)
 	if err != nil {
 		return nil, err
 	}
-	return d.Apply(patch), nil
+	return d.Apply(patch)
 }
 
 // Apply returns the document with a patch merged into it. Items are removed first; then items are replaced in place, or added
-// at the end of their collection. A name to be removed that does not exist is ignored. The result may be invalid: the caller
-// must Check it.
-func (d *Document) Apply(p *Patch) *Document {
+// at the end of their collection. A name to be removed that does not exist is ignored. A patch of anything but the collections of the
+// document is refused. The result may be invalid: the caller must Read what it encodes to.
+func (d *Document) Apply(p *Patch) (*Document, error) {
+	if err := d.checkCollections(p); err != nil {
+		return nil, err
+	}
 	result := &Document{version: p.version, root: maps.Clone(d.root)}
 	result.root[versionField] = json.Number(strconv.FormatUint(p.version, 10))
 	for collection, names := range p.remove {
@@ -67,12 +71,37 @@
 		}
 	}
 	for collection, items := range p.upsert {
-		result.root[collection] = upsertItems(result.root[collection], items)
+		if len(items) > 0 {
+			result.root[collection] = upsertItems(result.root[collection], items)
+		}
 	}
 	if p.limits != nil {
 		result.root[limitsField] = mergeFields(result.root[limitsField], p.limits)
 	}
-	return result
+	return result, nil
+}
+
+// checkCollections returns an error of kind fault.InvalidConfiguration that names what the patch would change and is no collection.
+func (d *Document) checkCollections(p *Patch) error {
+	collector := &problemCollector{}
+	for _, name := range slices.Sorted(maps.Keys(p.upsert)) {
+		d.checkCollection(collector, upsertField, name)
+	}
+	for _, name := range slices.Sorted(maps.Keys(p.remove)) {
+		d.checkCollection(collector, removeField, name)
+	}
+	return collector.error()
+}
+
+// checkCollection records a problem if a name is neither that of a list of the document nor of one that a document may have.
+func (d *Document) checkCollection(collector *problemCollector, operation, name string) {
+	switch name {
+	case routesField, servicesField, tenantsField:
+		return
+	}
+	if _, isList := d.root[name].([]any); !isList {
+		collector.add(operation+"."+name, "the configuration has no list of this name")
+	}
 }
 
 // readPatch reads a patch from the root of its document.
@@ -82,6 +111,7 @@
 		upsert:  map[string][]namedItem{},
 		remove:  map[string][]string{},
 	}
+	root.allowFields(versionField, upsertField, removeField, limitsField)
 	if limits := root.field(limitsField); !limits.isAbsent() && limits.requireObject() {
 		p.limits = limits.value.(map[string]any)
 	}
@@ -122,6 +152,7 @@
 		}
 		return
 	}
+	p.upsert[collection.name] = nil // checked even if the list is empty
 	for _, element := range collection.node.list() {
 		if element.requireObject() {
 			name := element.field(nameField).requiredText()
--- a/internal/control/doc.go
+++ b/internal/control/doc.go
@@ -11,7 +11,8 @@
 //
 //  1. api.configure reads the request. A node without a replica redirects it (api.requireReplica).
 //  2. service.Configure acknowledges a duplicate of a change that was accepted before, and refuses a change that is invalid
-//     whatever the current configuration is (validateRequest).
+//     whatever the current configuration is (validateRequest), and one whose result, as it is sent to all processes, could not
+//     be read by them (validateRequest, validatePatch).
 //  3. service.propose has a Command committed by chain.Node.Propose, which returns only once the command is on the disks of
 //     all members of the chain's view and has been applied.
 //  4. Machine.configure decides when the command is applied: it accepts the change if that builds on the current version and
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -62,9 +62,24 @@
 	if err := validateRequest(request); err != nil {
 		return Result{}, err
 	}
+	current, err := s.stateFrom(ctx, request.Match)
+	if err != nil {
+		return Result{}, err
+	}
+	if err := validatePatch(current, request); err != nil {
+		return Result{}, err
+	}
 	return s.propose(ctx, &Command{Configure: request})
 }
 
+// stateFrom returns a state whose configuration has at least a version if there is one: a node that is behind catches up first.
+func (s *service) stateFrom(ctx context.Context, version uint64) (*State, error) {
+	if state := s.machine.State(); state.Version() >= version {
+		return state, nil
+	}
+	return s.Read(ctx)
+}
+
 // Read returns the state that was current at some moment after the call began.
 func (s *service) Read(ctx context.Context) (*State, error) {
 	err := s.retry(ctx, s.callTimeout, s.replica.Barrier)
--- a/internal/control/state_codec.go
+++ b/internal/control/state_codec.go
@@ -103,11 +103,7 @@
 
 // readDocument returns the state with an encoded configuration, which it compiles.
 func readDocument(state *State, encoded []byte) (*State, error) {
-	document, err := configuration.Parse(encoded)
-	if err != nil {
-		return nil, err
-	}
-	snapshot, err := configuration.Compile(document)
+	document, snapshot, err := configuration.Read(encoded)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/control/validation.go
+++ b/internal/control/validation.go
@@ -30,5 +30,32 @@
 	if err != nil {
 		return 0, err
 	}
-	return document.Version(), configuration.Check(document)
+	return document.Version(), checkReadable(document)
+}
+
+// maxDocumentBytes bounds the encoded configuration, to which patches add, so that it fits into messages.
+const maxDocumentBytes = maxBodyBytes
+
+// checkReadable returns an error of kind fault.InvalidConfiguration unless all processes can read a document: what they read is its
+// encoded form.
+func checkReadable(document *configuration.Document) error {
+	encoded := document.Encode()
+	if len(encoded) > maxDocumentBytes {
+		return fault.New(fault.InvalidConfiguration, "the configuration would have %d bytes, at most %d are allowed", len(encoded), maxDocumentBytes)
+	}
+	_, _, err := configuration.Read(encoded)
+	return err
+}
+
+// validatePatch refuses a patch whose result not all processes can read. A request that builds on another version than the current one
+// is not checked here, as it will be refused.
+func validatePatch(current *State, request *Configure) error {
+	if !request.Patch || current.Version() != request.Match {
+		return nil
+	}
+	patched, err := requestedDocument(current.Document, request)
+	if err != nil {
+		return err
+	}
+	return checkReadable(patched)
 }
--- a/internal/nodestate/nodestate.go
+++ b/internal/nodestate/nodestate.go
@@ -46,6 +46,7 @@
 	configuration atomic.Pointer[configuration.Current]
 	backends      atomic.Pointer[discovery.List]
 	placement     atomic.Pointer[placement.Table]
+	unreadable    atomic.Uint64
 
 	mu    sync.Mutex // guards pools
 	pools map[string]*admission.Pool
@@ -135,12 +136,7 @@
 }
 
 func (s *State) applyConfiguration(v gossip.Value) {
-	document, err := configuration.Parse(v.Data)
-	if err != nil {
-		s.logInvalid("configuration", v, err)
-		return
-	}
-	snapshot, err := configuration.Compile(document)
+	_, snapshot, err := configuration.Read(v.Data)
 	if err != nil {
 		s.logInvalid("configuration", v, err)
 		return
@@ -181,8 +177,13 @@
 	}
 }
 
-// logInvalid logs a version that is ignored because it cannot be decoded.
+// UnreadableVersions returns how many versions were ignored because they could not be decoded. This process then goes on with an
+// older version, and can no longer prove that it is current.
+func (s *State) UnreadableVersions() uint64 { return s.unreadable.Load() }
+
+// logInvalid counts and logs a version that is ignored because it cannot be decoded.
 func (s *State) logInvalid(what string, v gossip.Value, err error) {
+	s.unreadable.Add(1)
 	s.options.Log.Error("decode version failed", zap.String("of", what), zap.Uint64("sequence", v.Version.Sequence),
 		zap.Error(err))
 }
--- a/internal/nodestate/nodestate_test.go
+++ b/internal/nodestate/nodestate_test.go
@@ -50,3 +50,20 @@
 		t.Errorf("pools in notifications: got %v, want the same one twice", pools)
 	}
 }
+
+// TestUnreadableVersionIsCountedAndIgnored checks that a process keeps its configuration if it cannot read a newer one, and tells so.
+func TestUnreadableVersionIsCountedAndIgnored(t *testing.T) {
+	source := fakeSource{}
+	state := New(Options{Node: "n", Zone: "z", Source: source, Log: zap.NewNop()})
+	for _, text := range []string{
+		`{"version":1,"routes":[],"services":[]}`, `{"version":[{"name":"2"}],"routes":[],"services":[]}`, `{"version":3,"routes":[]}`,
+	} {
+		source[gossip.Configuration](gossip.Value{Topic: gossip.Configuration, Data: []byte(text)})
+	}
+	if got := state.Configuration().Version; got != 1 {
+		t.Errorf("version in use: got %d, want 1", got)
+	}
+	if got := state.UnreadableVersions(); got != 2 {
+		t.Errorf("unreadable versions: got %d, want 2", got)
+	}
+}
