Store: failures of an item are recorded, so that the next head counts on

Cause: the number of failures was in the memory of the head, and each new head began at 0.

Mend: a failure is a command (Fail, a new member of the union; a new field of ItemState), and the item is tried again once it is committed: at most maxAttempts and one for each head that ended meanwhile. A head gives up an item that has failed often enough without sending it, and begins the backoff at the recorded number. Without failures nothing more is written.

--- a/internal/batch/batch.go
+++ b/internal/batch/batch.go
@@ -74,6 +74,14 @@
 	LastEvent string
 }
 
+// Failure records how many attempts of an item backends have responded to with an internal server error, so that the next head of the
+// partition counts on.
+type Failure struct {
+	Key          Key
+	Index        uint32 // of the item in its job
+	ServerErrors uint32 // the attempts of all heads
+}
+
 // ClockReading is the time that a monotonic clock has measured since its source began. Readings of different sources cannot
 // be compared.
 type ClockReading struct {
@@ -89,6 +97,7 @@
 	Append []Result
 	End    *Key
 	Drop   []Key
+	Fail   []Failure
 }
 
 // Submit is the command to accept a job.
--- a/internal/batch/batchwire/batchwire.capnp
+++ b/internal/batch/batchwire/batchwire.capnp
@@ -49,6 +49,12 @@
   lastEvent @6 :Text;
 }
 
+struct Failure {
+  key @0 :Key;
+  index @1 :UInt32;
+  serverErrors @2 :UInt32;
+}
+
 struct Submit {
   job @0 :Job;
   maxQueuedTokens @1 :Int64;
@@ -63,6 +69,7 @@
     append @4 :List(Result);
     end @5 :Key;
     drop @6 :List(Key);
+    fail @7 :List(Failure);
   }
 }
 
@@ -85,6 +92,7 @@
   state @1 :State;
   content @2 :Data;
   checkpoints @3 :List(Checkpoint);
+  serverErrors @4 :UInt32;
 }
 
 struct JobState {
--- a/internal/batch/command_decoding.go
+++ b/internal/batch/command_decoding.go
@@ -34,6 +34,8 @@
 		return decodeEnd(root, c)
 	case batchwire.Command_Which_drop:
 		return decodeDrop(root, c)
+	case batchwire.Command_Which_fail:
+		return decodeFailures(root, c)
 	}
 	return nil
 }
@@ -117,3 +119,26 @@
 	}
 	return nil
 }
+
+func decodeFailures(root batchwire.Command, c *Command) error {
+	list, err := root.Fail()
+	if err != nil {
+		return err
+	}
+	if err := capnpcodec.CheckLength(list); err != nil {
+		return err
+	}
+	c.Fail = make([]Failure, list.Len())
+	for i := range c.Fail {
+		key, err := list.At(i).Key()
+		if err != nil {
+			return err
+		}
+		if c.Fail[i].Key, err = DecodeKey(key); err != nil {
+			return err
+		}
+		c.Fail[i].Index = list.At(i).Index()
+		c.Fail[i].ServerErrors = list.At(i).ServerErrors()
+	}
+	return nil
+}
--- a/internal/batch/command_encoding.go
+++ b/internal/batch/command_encoding.go
@@ -40,6 +40,8 @@
 		return encodeResults(root, c.Append)
 	case c.Drop != nil:
 		return encodeDrop(root, c.Drop)
+	case c.Fail != nil:
+		return encodeFailures(root, c.Fail)
 	}
 	root.SetTick()
 	return nil
@@ -103,3 +105,22 @@
 	}
 	return nil
 }
+
+func encodeFailures(root batchwire.Command, failures []Failure) error {
+	list, err := root.NewFail(int32(len(failures)))
+	if err != nil {
+		return err
+	}
+	for i, failure := range failures {
+		key, err := list.At(i).NewKey()
+		if err != nil {
+			return err
+		}
+		if err := EncodeKey(key, failure.Key); err != nil {
+			return err
+		}
+		list.At(i).SetIndex(failure.Index)
+		list.At(i).SetServerErrors(failure.ServerErrors)
+	}
+	return nil
+}
--- a/internal/batch/doc.go
+++ b/internal/batch/doc.go
@@ -5,6 +5,7 @@
 //
 //   - A job is accepted once: submitting the same identifier of the same tenant again has the outcome Done and no effect.
 //   - An item has at most one position in the results of its job, and a position never changes.
+//   - The recorded number of an item's failures never falls.
 //   - A listed result stays until the job is dropped, and only a closed job is dropped.
 //   - When a job is accepted, the tokens of its tenant's waiting items on its route, its own included, are within the
 //     MaxQueuedTokens of the submission.
--- a/internal/batch/golden_test.go
+++ b/internal/batch/golden_test.go
@@ -52,6 +52,9 @@
 			{Key: goldenKey(4), Index: 0x91929394, State: Abandoned},
 		}}},
 		{name: "end", file: "command-end.hex", want: Command{Clock: clock, End: &ended}},
+		{name: "fail", file: "command-fail.hex", want: Command{Clock: clock, Fail: []Failure{
+			{Key: goldenKey(8), Index: 0xa1a2a3a4, ServerErrors: 0xb1b2b3b4}, {Key: goldenKey(9), Index: 0xc1c2c3c4, ServerErrors: 0xd1d2d3d4},
+		}}},
 		{name: "drop", file: "command-drop.hex", want: Command{Clock: clock, Drop: []Key{goldenKey(5), goldenKey(6)}}},
 	}
 	for _, test := range tests {
@@ -90,7 +93,7 @@
 	running := &job{
 		key: goldenKey(1), route: goldenRoute(1), ordinal: 0x5152535455565758, submittedAt: 0x6162636465666768, submitted: true,
 		items: []item{
-			{Item: goldenItem(1), checkpoints: checkpoints{
+			{Item: goldenItem(1), serverErrors: 0xe1e2e3e4, checkpoints: checkpoints{
 				{events: 0x71727374, lastEvent: "event 1", content: []byte("checkpoint 1")},
 				{events: 0x81828384, lastEvent: "event 2", content: []byte("checkpoint 2")},
 			}},
--- a/internal/batch/history_test.go
+++ b/internal/batch/history_test.go
@@ -104,13 +104,15 @@
 	key := testKey(h.random.IntN(historyJobs))
 	key.Tenant = fmt.Sprintf("tenant-%d", h.random.IntN(2))
 	other := h.replicas[1+h.random.IntN(historyReplicas-1)]
-	switch h.random.IntN(12) {
+	switch h.random.IntN(13) {
 	case 0, 1, 2:
 		h.submit(key)
 	case 3, 4, 5:
 		h.appendResults(key)
 	case 10, 11:
 		h.runItem(key)
+	case 12:
+		h.failItem(key)
 	case 6:
 		h.end(key)
 	case 7:
@@ -163,6 +165,25 @@
 	h.checkAcknowledged(key)
 }
 
+// failItem records failures of a waiting item, sometimes fewer than are recorded already, and checks that the number does not fall.
+func (h *history) failItem(key Key) {
+	pending, ok := h.replicas[0].machine.PendingJob(key)
+	if !ok {
+		return
+	}
+	index := h.random.IntN(len(pending.Items))
+	item := pending.Items[index]
+	failure := Failure{Key: key, Index: item.Index, ServerErrors: uint32(h.random.IntN(6))}
+	h.commit(&Command{Fail: []Failure{failure}})
+	after, _ := h.replicas[0].machine.PendingJob(key)
+	if got, want := after.Items[index].ServerErrors, max(item.ServerErrors, failure.ServerErrors); got != want {
+		h.t.Fatalf("%v item %d: got %d recorded failures, want %d", key, item.Index, got, want)
+	}
+	if after.Items[index].Events != item.Events {
+		h.t.Fatalf("%v item %d: a failure changed the events of its text from %d to %d", key, item.Index, item.Events, after.Items[index].Events)
+	}
+}
+
 // historyEvents is the number of events in the text of an item that runItem runs.
 const historyEvents = 9
 
--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -18,9 +18,10 @@
 // released when it is listed or its job is ended.
 type item struct {
 	Item
-	state       State
-	content     []byte
-	checkpoints checkpoints
+	state        State
+	content      []byte
+	checkpoints  checkpoints
+	serverErrors uint32 // see Failure
 }
 
 func (j *job) account() account { return account{tenant: j.key.Tenant, route: j.route.Name} }
@@ -49,4 +50,5 @@
 	i.Headers = nil
 	i.Body = nil
 	i.checkpoints = nil
+	i.serverErrors = 0
 }
--- a/internal/batch/machine.go
+++ b/internal/batch/machine.go
@@ -49,6 +49,8 @@
 		m.append(command.Append)
 	case command.Drop != nil:
 		m.drop(command.Drop)
+	case command.Fail != nil:
+		m.fail(command.Fail)
 	}
 	return Done
 }
@@ -114,22 +116,39 @@
 // continues a checkpoint of the item. Checkpoints after the one that the text continues are removed. It reports whether it
 // listed the item.
 func (m *Machine) record(r *Result) bool {
-	target := m.jobs[r.Key]
-	if target == nil || !target.submitted || target.ended || int(r.Index) >= len(target.items) {
-		return false
-	}
-	waiting := &target.items[r.Index]
-	if waiting.state != Waiting || !waiting.checkpoints.truncate(r.From) {
+	waiting := m.waitingItem(r.Key, r.Index)
+	if waiting == nil || !waiting.checkpoints.truncate(r.From) {
 		return false
 	}
 	if r.State == Waiting {
 		waiting.checkpoints.add(r)
 		return false
 	}
-	m.list(target, r)
+	m.list(m.jobs[r.Key], r)
 	return true
 }
 
+// fail records the failures of items that are not listed yet. A record that comes late does not lower the number.
+func (m *Machine) fail(failures []Failure) {
+	for _, f := range failures {
+		if failed := m.waitingItem(f.Key, f.Index); failed != nil {
+			failed.serverErrors = max(failed.serverErrors, f.ServerErrors)
+		}
+	}
+}
+
+// waitingItem returns an item that is to be run, or nil if the job is unknown or ended, or the item is listed.
+func (m *Machine) waitingItem(key Key, index uint32) *item {
+	target := m.jobs[key]
+	if target == nil || !target.submitted || target.ended || int(index) >= len(target.items) {
+		return nil
+	}
+	if found := &target.items[index]; found.state == Waiting {
+		return found
+	}
+	return nil
+}
+
 // list adds a result at the next position of its job.
 func (m *Machine) list(target *job, r *Result) {
 	listed := &target.items[r.Index]
--- a/internal/batch/read.go
+++ b/internal/batch/read.go
@@ -81,6 +81,8 @@
 	Events uint32
 	// LastEvent is the id of the last of these events, empty if there are none.
 	LastEvent string
+	// ServerErrors is the number of attempts that are recorded as failed, see Failure.
+	ServerErrors uint32
 }
 
 // PendingJob returns the items of a job that are to be run. It reports false if there are none.
@@ -96,10 +98,11 @@
 			continue
 		}
 		pending.Items = append(pending.Items, PendingItem{
-			Index:     uint32(i),
-			Item:      waiting.Item,
-			Events:    waiting.checkpoints.events(),
-			LastEvent: waiting.checkpoints.lastEvent(),
+			Index:        uint32(i),
+			Item:         waiting.Item,
+			Events:       waiting.checkpoints.events(),
+			LastEvent:    waiting.checkpoints.lastEvent(),
+			ServerErrors: waiting.serverErrors,
 		})
 	}
 	return pending, true
--- a/internal/batch/size.go
+++ b/internal/batch/size.go
@@ -55,6 +55,9 @@
 	for _, key := range c.Drop {
 		size += KeySize(key)
 	}
+	for i := range c.Fail {
+		size += structBytes + KeySize(c.Fail[i].Key)
+	}
 	return size
 }
 
--- a/internal/batch/size_test.go
+++ b/internal/batch/size_test.go
@@ -31,7 +31,7 @@
 }
 
 func randomCommand(random *rand.Rand) *Command {
-	switch random.IntN(4) {
+	switch random.IntN(5) {
 	case 0:
 		key := randomKey(random)
 		return &Command{End: &key}
@@ -47,6 +47,12 @@
 			c.Drop = append(c.Drop, randomKey(random))
 		}
 		return c
+	case 3:
+		c := &Command{Fail: []Failure{}}
+		for range random.IntN(20) {
+			c.Fail = append(c.Fail, Failure{Key: randomKey(random), Index: random.Uint32(), ServerErrors: random.Uint32()})
+		}
+		return c
 	}
 	return &Command{Submit: &Submit{Job: randomJob(random), MaxQueuedTokens: random.Int64()}}
 }
--- a/internal/batch/snapshot_decoding.go
+++ b/internal/batch/snapshot_decoding.go
@@ -110,6 +110,7 @@
 
 func decodeItemState(state batchwire.ItemState, i *item, names interner) error {
 	i.state = State(state.State())
+	i.serverErrors = state.ServerErrors()
 	content, err := state.Content()
 	if err != nil {
 		return err
--- a/internal/batch/snapshot_encoding.go
+++ b/internal/batch/snapshot_encoding.go
@@ -52,6 +52,7 @@
 		state := items.At(i)
 		state.SetState(batchwire.State(j.items[i].state))
 		mustEncode(state.SetContent(j.items[i].content))
+		state.SetServerErrors(j.items[i].serverErrors)
 		encodeCheckpoints(state, j.items[i].checkpoints)
 		encoded, err := state.NewItem()
 		mustEncode(err)
--- a/internal/store/appender.go
+++ b/internal/store/appender.go
@@ -20,8 +20,8 @@
 	appendRetryPause = 100 * time.Millisecond
 )
 
-// appender commits results and checkpoints in batches: those added within a window, or while an append is in progress, are appended
-// together. It retries until they are committed or its context ends. A retry is safe when the outcome of an append is unknown: an
+// appender commits results, checkpoints and failures in batches: those added within a window, or while an append is in progress, are
+// appended together. It retries until they are committed or its context ends. A retry is safe when the outcome of an append is unknown: an
 // item is listed once, and a checkpoint is added once, however often they are appended.
 //
 // Results and checkpoints continue the checkpoints that the runner has read, and the state machine drops all checkpoints after the
@@ -35,6 +35,8 @@
 	log       *zap.Logger
 	mutex     sync.Mutex
 	pending   []batch.Result
+	failures  []batch.Failure
+	recorded  chan struct{} // closed once the failures are committed
 	working   bool          // the goroutine is running
 	ended     chan struct{} // closed when the last started goroutine has ended
 	closed    bool
@@ -48,11 +50,46 @@
 		return
 	}
 	a.pending = append(a.pending, r)
-	if !a.working {
-		a.working = true
-		a.ended = make(chan struct{})
-		go a.work(ctx, a.ended)
+	a.start(ctx)
+}
+
+// recordFailure commits a failure, and reports whether it is committed. It waits for that until the context ends.
+func (a *appender) recordFailure(ctx context.Context, f batch.Failure) bool {
+	recorded := a.addFailure(ctx, f)
+	if recorded == nil {
+		return false
+	}
+	select {
+	case <-recorded:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// addFailure adds a failure to the pending ones, and returns a channel that is closed once it is committed, or nil after close.
+func (a *appender) addFailure(ctx context.Context, f batch.Failure) <-chan struct{} {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	if a.closed {
+		return nil
+	}
+	if a.recorded == nil {
+		a.recorded = make(chan struct{})
+	}
+	a.failures = append(a.failures, f)
+	a.start(ctx)
+	return a.recorded
+}
+
+// start starts the goroutine if it is not running. The caller holds the mutex.
+func (a *appender) start(ctx context.Context) {
+	if a.working {
+		return
 	}
+	a.working = true
+	a.ended = make(chan struct{})
+	go a.work(ctx, a.ended)
 }
 
 // close returns once nothing more will be appended, which is soon after the context has ended. If it did not wait, a checkpoint
@@ -71,39 +108,60 @@
 	defer close(ended)
 	for ctx.Err() == nil {
 		pause.For(ctx, appendWindow)
-		results := a.takeBatch()
-		if len(results) == 0 {
+		next := a.takeBatch()
+		if next.isEmpty() {
 			return
 		}
-		a.append(ctx, results)
+		a.commit(ctx, next)
 	}
 }
 
-// append retries until the results are committed or the context ends, which happens soon after the end of the term.
-func (a *appender) append(ctx context.Context, results []batch.Result) {
+// appendBatch is what the appender commits together.
+type appendBatch struct {
+	results  []batch.Result
+	failures []batch.Failure
+	recorded chan struct{} // to be closed once the failures are committed
+}
+
+func (b *appendBatch) isEmpty() bool { return len(b.results) == 0 && len(b.failures) == 0 }
+
+// commit commits the results and the failures of a batch, each with a command of its own.
+func (a *appender) commit(ctx context.Context, b appendBatch) {
+	if len(b.results) > 0 {
+		a.append(ctx, &batch.Command{Append: b.results})
+	}
+	if len(b.failures) > 0 && a.append(ctx, &batch.Command{Fail: b.failures}) {
+		close(b.recorded)
+	}
+}
+
+// append retries until a command is committed, and reports whether it is. It ends with the context, soon after the end of the term.
+func (a *appender) append(ctx context.Context, command *batch.Command) bool {
 	for ctx.Err() == nil {
-		_, err := a.partition.proposeInTerm(ctx, a.term, &batch.Command{Append: results})
+		_, err := a.partition.proposeInTerm(ctx, a.term, command)
 		if err == nil {
-			return
+			return true
 		}
 		a.log.Debug("append results failed", zap.Uint32("partition", a.partition.number),
-			zap.Int("results", len(results)), zap.Error(err))
+			zap.Int("results", len(command.Append)), zap.Int("failures", len(command.Fail)), zap.Error(err))
 		pause.For(ctx, appendRetryPause)
 	}
+	return false
 }
 
-// takeBatch removes and returns the results to append next. If there are none, it records that the goroutine ends.
-func (a *appender) takeBatch() []batch.Result {
+// takeBatch removes and returns what is to be committed next. If there is nothing, it records that the goroutine ends.
+func (a *appender) takeBatch() appendBatch {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
 	count := a.batchSize()
-	results := a.pending[:count:count]
+	taken := appendBatch{results: a.pending[:count:count], failures: a.failures, recorded: a.recorded}
 	a.pending = a.pending[count:]
-	if count == 0 {
+	a.failures, a.recorded = nil, nil
+	if taken.isEmpty() {
 		a.pending = nil
 		a.working = false
 	}
-	return results
+	return taken
 }
 
 // batchSize returns how many of the pending results go into one command: at least one if there are any.
--- a/internal/store/attempt.go
+++ b/internal/store/attempt.go
@@ -80,12 +80,25 @@
 	return now.Sub(a.startTime)-time.Duration(a.lastEventOffset.Load()) > limit
 }
 
-// run executes the attempt, gives the permit back, and returns the item to the runner.
+// run executes the attempt, gives the permit back, and returns the item to the runner: an item that has failed only once the failure
+// is recorded, so that the loss of a head loses the count of at most one failure of each item.
 func (a *attempt) run() {
 	result := a.perform()
 	a.cancel(nil)
 	a.permit.Done(time.Now(), result.outcome, result.load)
 	a.runner.attemptEnded(a, result)
+	if result.serverErrors > 0 && a.recordFailure(result.serverErrors) {
+		a.runner.retryItem(a.item, result.backoff)
+	}
+}
+
+// recordFailure waits until the number of the item's failures is recorded, and reports whether it is.
+func (a *attempt) recordFailure(serverErrors int) bool {
+	return a.runner.appender.recordFailure(a.runnerContext, batch.Failure{
+		Key:          a.item.Job.Pending.Key,
+		Index:        a.item.Pending.Index,
+		ServerErrors: uint32(serverErrors),
+	})
 }
 
 // perform sends the item and handles the response according to its status.
@@ -131,7 +144,8 @@
 	r.config.retryQueue.Offer(a.item.Job.Pending.Route.Name)
 }
 
-// finishAttempt frees the attempt's slot, and completes, abandons or delays its item if the job is still in the schedule.
+// finishAttempt frees the attempt's slot, and completes, abandons or delays its item if the job is still in the schedule. An item whose
+// failure has to be recorded first is delayed by retryItem.
 func (r *runner) finishAttempt(a *attempt, result attemptResult) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
@@ -152,6 +166,18 @@
 	case stepAbandon:
 		r.abandonItem(a.runnerContext, a.item)
 	case stepRetry:
-		r.schedule.DelayItem(a.item, time.Now().Add(result.backoff))
+		if result.serverErrors == 0 {
+			r.schedule.DelayItem(a.item, time.Now().Add(result.backoff))
+		}
+	}
+}
+
+// retryItem delays an item whose failure is recorded, if its job is still in the schedule.
+func (r *runner) retryItem(item *scheduler.Item, backoff time.Duration) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	defer r.Wake()
+	if r.schedule.Contains(item.Job) {
+		r.schedule.DelayItem(item, time.Now().Add(backoff))
 	}
 }
--- a/internal/store/attempt_result.go
+++ b/internal/store/attempt_result.go
@@ -31,6 +31,7 @@
 	backoff          time.Duration // of an item that is retried: before the next attempt
 	outcome          admission.Outcome
 	load             *admission.Load // reported by the backend, or nil
+	serverErrors     int             // of an item that is retried after an internal server error: how many it has had
 }
 
 // failed returns the result of an attempt that got no response, or whose stream failed.
@@ -65,10 +66,13 @@
 
 // serverError returns the result of an internal server error. The item is abandoned when it has had as many as the route allows.
 func (a *attempt) serverError(response *forward.Response) attemptResult {
-	if !a.item.CountServerError(a.route.MaxAttempts) {
+	a.item.CountServerError()
+	if !a.item.MayRun(a.route.MaxAttempts) {
 		return resultForResponse(response, stepAbandon)
 	}
-	return a.retryAfterResponse(response)
+	result := a.retryAfterResponse(response)
+	result.serverErrors = a.item.ServerErrors()
+	return result
 }
 
 // retryAfterResponse returns the result of a response that is not an event stream, and after which the item is tried again.
--- a/internal/store/attempt_test.go
+++ b/internal/store/attempt_test.go
@@ -1,6 +1,7 @@
 package store
 
 import (
+	"context"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -95,6 +96,67 @@
 	checkRequests(t, f.backends[0], 2)
 }
 
+// TestFailuresAreCountedAcrossHeads guards against an item that is sent maxAttempts times more after each change of the head.
+func TestFailuresAreCountedAcrossHeads(t *testing.T) {
+	const maxAttempts, heads, failuresOfAHead = 7, 3, 2
+	f := newFixture(t, 1)
+	f.configure(testConfiguration(t, testPrefix, maxAttempts, 40), true)
+	failed := make(chan struct{}, 100)
+	f.backends[0].before = func(w http.ResponseWriter, r *http.Request) bool {
+		defer func() { failed <- struct{}{} }()
+		return answerWith(http.StatusInternalServerError)(w, r)
+	}
+	job := testJob(testKey(1), 1, 1)
+	f.submit(job)
+	for range heads {
+		f.start()
+		for range failuresOfAHead {
+			receive(t, failed)
+		}
+		f.stop()
+	}
+	f.start()
+	checkAbandoned(t, f.results(job.Key, 1)[0])
+	// Each end of a head may lose the count of the failure that it has not recorded.
+	if got := len(f.backends[0].receivedRequests()); got < maxAttempts || got > maxAttempts+heads {
+		t.Errorf("requests to the backend: got %d, want %d to %d", got, maxAttempts, maxAttempts+heads)
+	}
+}
+
+// TestItemIsNotSentBeforeItsFailureIsRecorded guards against failures that the next head does not know of.
+func TestItemIsNotSentBeforeItsFailureIsRecorded(t *testing.T) {
+	f := newFixture(t, 1)
+	f.configure(testConfiguration(t, testPrefix, 3, 40), true)
+	f.backends[0].before = answerWith(http.StatusInternalServerError)
+	f.replica.set(func(r *fakeReplica) { r.failCommandError = errTestNotReady })
+	f.start()
+	job := testJob(testKey(1), 1, 1)
+	f.submit(job)
+	f.eventually("recording the failure was tried again", func() bool {
+		tried := 0
+		f.replica.set(func(r *fakeReplica) { tried = r.failCommands })
+		return tried >= 4
+	})
+	checkRequests(t, f.backends[0], 1)
+	f.replica.set(func(r *fakeReplica) { r.failCommandError = nil })
+	checkAbandoned(t, f.results(job.Key, 1)[0])
+	checkRequests(t, f.backends[0], 3)
+}
+
+// TestItemThatHasFailedTooOftenIsNotSent guards against another attempt by a head whose predecessor did not get to list the item.
+func TestItemThatHasFailedTooOftenIsNotSent(t *testing.T) {
+	f := newFixture(t, 1)
+	job := testJob(testKey(1), 1, 1)
+	f.submit(job)
+	failure := batch.Failure{Key: job.Key, ServerErrors: 2}
+	if _, err := f.partition.propose(context.Background(), &batch.Command{Fail: []batch.Failure{failure}}); err != nil {
+		t.Fatal(err)
+	}
+	f.start()
+	checkAbandoned(t, f.results(job.Key, 1)[0])
+	checkRequests(t, f.backends[0], 0)
+}
+
 func TestRejectedItemIsAbandonedAtOnce(t *testing.T) {
 	f := newFixture(t, 1)
 	f.backends[0].before = answerWith(http.StatusUnprocessableEntity)
--- a/internal/store/dispatch.go
+++ b/internal/store/dispatch.go
@@ -64,6 +64,8 @@
 	}
 	route := routeOf(current.Snapshot, &item.Job.Pending)
 	switch {
+	case route != nil && !item.MayRun(route.MaxAttempts):
+		r.abandonItem(ctx, item)
 	case route != nil:
 		return r.send(ctx, current.Snapshot, route, item)
 	case r.mayPredate(current, &item.Job.Pending, now):
--- a/internal/store/doc.go
+++ b/internal/store/doc.go
@@ -7,6 +7,8 @@
 //   - A result is shown once it is committed, and keeps its position. A replica serves reads only with a fresh confirmation that it
 //     has applied everything committed before; it reports that a job does not exist only after a new barrier (partition.results).
 //   - An item may run more than once, but it is listed once, however often its result is appended (appender).
+//   - An item whose attempt has failed at a backend is sent again once the failure is committed, so that the next head counts on
+//     (attempt.run).
 //
 // What stops a former head from running items (fencing):
 //   - Items are sent only with a confirmation of leadership whose age is below a third of the cancellation bound, within which the
@@ -31,9 +33,9 @@
 //   - state.go, clock.go, confirmation.go: the state machine of a partition, the clock readings of its commands, and the confirmation
 //     that it is up to date;
 //   - runner.go, runner_jobs.go, runner_config.go: the loop that runs the items of a partition;
-//   - dispatch.go, admission_request.go, backends.go, retry_queue.go: sending an item;
+//   - dispatch.go, job_route.go, admission_request.go, backends.go, retry_queue.go, held_items.go: sending an item;
 //   - attempt.go, attempt_stream.go, attempt_result.go: one execution of an item at one backend;
-//   - appender.go: committing results and checkpoints;
+//   - appender.go: committing results, checkpoints and failures;
 //   - job_review.go, cancellation.go: the periodic review of jobs (urgency, retention, dropping) and of attempts;
 //   - progress.go, stats.go: reports to the control nodes, and metrics.
 package store
--- a/internal/store/fakes_test.go
+++ b/internal/store/fakes_test.go
@@ -30,6 +30,9 @@
 	barrierError error // returned by Barrier
 	proposeError error // returned by Propose instead of committing the command
 	commits      int
+	// failCommandError is returned for commands that record failures of items, instead of committing them.
+	failCommandError error
+	failCommands     int // commands that record failures
 	// beforeAppend is called before results are committed.
 	beforeAppend   func(ctx context.Context)
 	unclearAppends int // number of further appends that are committed but return errTestUnclear
@@ -44,6 +47,12 @@
 	if f.proposeError != nil {
 		return nil, f.proposeError
 	}
+	if decoded, err := batch.DecodeCommand(command); err == nil && decoded.Fail != nil {
+		f.failCommands++
+		if f.failCommandError != nil {
+			return nil, f.failCommandError
+		}
+	}
 	f.sequence++
 	f.commits++
 	outcome := f.state.Apply(f.sequence, command)
--- a/internal/store/former_head_test.go
+++ b/internal/store/former_head_test.go
@@ -84,7 +84,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), 3*appendRetryPause)
 	defer cancel()
 	late := &appender{partition: formerRunner.partition, term: formerRunner.appender.term, log: formerRunner.appender.log}
-	late.append(ctx, []batch.Result{testCheckpoint(job.Key, 0, 1)})
+	late.append(ctx, &batch.Command{Append: []batch.Result{testCheckpoint(job.Key, 0, 1)}})
 	confirmed, cancelConfirmed := context.WithTimeout(context.Background(), testTimeout)
 	defer cancelConfirmed()
 	if err := next.partition.confirm(confirmed, 0); err != nil {
--- a/internal/store/scheduler/item.go
+++ b/internal/store/scheduler/item.go
@@ -16,7 +16,7 @@
 	// AvoidBackend is the id of the backend of the last attempt if that attempt failed, and empty otherwise.
 	AvoidBackend string
 
-	serverErrors  int // attempts to which the backend responded with an internal server error
+	serverErrors  int // attempts, also those of former heads, to which the backend responded with an internal server error
 	emptyAttempts int // consecutive attempts that produced no event
 }
 
@@ -39,6 +39,9 @@
 			Job:     j,
 			Pending: item,
 			Text:    itemtext.FromCheckpoint(item.Events, item.LastEvent),
+
+			serverErrors:  int(item.ServerErrors),
+			emptyAttempts: int(item.ServerErrors),
 		})
 	}
 	slices.SortStableFunc(j.waiting, startedFirst)
--- a/internal/store/scheduler/retry.go
+++ b/internal/store/scheduler/retry.go
@@ -25,9 +25,12 @@
 // MadeProgress records that an attempt has produced an event, which resets the backoff.
 func (i *Item) MadeProgress() { i.emptyAttempts = 0 }
 
-// CountServerError counts an attempt to which the backend responded with an internal server error, and reports whether another
-// attempt may follow, given that maxAttempts such attempts are allowed. A maxAttempts below 1 counts as 1.
-func (i *Item) CountServerError(maxAttempts int) (mayRetry bool) {
-	i.serverErrors++
-	return i.serverErrors < max(maxAttempts, 1)
-}
+// CountServerError counts an attempt to which the backend responded with an internal server error.
+func (i *Item) CountServerError() { i.serverErrors++ }
+
+// ServerErrors returns how many attempts have been counted, with those of former heads that were recorded.
+func (i *Item) ServerErrors() int { return i.serverErrors }
+
+// MayRun reports whether the item may be sent, given that maxAttempts attempts may end with an internal server error. A maxAttempts
+// below 1 counts as 1.
+func (i *Item) MayRun(maxAttempts int) bool { return i.serverErrors < max(maxAttempts, 1) }
--- a/internal/store/scheduler/schedule_test.go
+++ b/internal/store/scheduler/schedule_test.go
@@ -200,7 +200,8 @@
 	} {
 		item := &Item{}
 		for i, want := range test.want {
-			if got := item.CountServerError(test.maxAttempts); got != want {
+			item.CountServerError()
+			if got := item.MayRun(test.maxAttempts); got != want {
 				t.Errorf("%d attempts allowed, server error %d, may retry: got %v, want %v", test.maxAttempts, i+1, got, want)
 			}
 		}
