Chain: a disk that refuses writes is a state of the replica, not its end

Cause: the first write that failed ended the replica, though the log stays open and unchanged after a refused write. The process then waited for the disk, and to be taken out of views that could not do without it, and ended.

Evidence: the new tests on the former code: after one 'no space left on device' no second write is tried; a chain of three does not take the replica back; a voter whose promise was refused gives it at the next request without it being on disk.

Mend: the disk writer tries refused operations again, ten times a second, from the one that failed; meanwhile the replica counts as impaired, like one with a stalled disk, and its chain goes on without it where it can. A voter forgets what it could not write. Replicas that could not be opened are opened later. A failed sync still ends the process.

--- a/cmd/nickelline/golden_test.go
+++ b/cmd/nickelline/golden_test.go
@@ -137,7 +137,7 @@
 	writeAllocator(&w, quota.AllocatorStats{InGrace: true, Unreclaimed: 51, HighestLevel: 0.5, Granted: 52, Returned: 53.5})
 	writeItems(&w, store.Stats{
 		Partitions: 41, Heads: 42,
-		Lagging: 46, LongestLag: 47 * time.Second,
+		Lagging: 46, LongestLag: 47 * time.Second, Refusing: 56,
 		Routes: map[string]store.RouteStats{"push": {Waiting: 43, Late: 44, Running: 45}},
 		Held:   map[string]map[string]uint64{"push": {"no_route": 54, "refused": 55}},
 	})
--- a/cmd/nickelline/metrics.go
+++ b/cmd/nickelline/metrics.go
@@ -177,6 +177,7 @@
 	w.Gauge("nickelline_partitions_headed", float64(stats.Heads))
 	w.Gauge("nickelline_replicas_lagging", float64(stats.Lagging))
 	w.Gauge("nickelline_replicas_lagging_seconds", stats.LongestLag.Seconds())
+	w.Gauge("nickelline_replicas_refused", float64(stats.Refusing))
 	for _, route := range slices.Sorted(maps.Keys(stats.Routes)) {
 		items, label := stats.Routes[route], metrics.Label{Name: "route", Value: route}
 		w.Gauge("nickelline_batch_items_waiting", float64(items.Waiting), label)
--- a/cmd/nickelline/role.go
+++ b/cmd/nickelline/role.go
@@ -1,6 +1,10 @@
 package main
 
-import "context"
+import (
+	"context"
+
+	"nickelline/internal/segment"
+)
 
 // roleNode is a node with one of the roles.
 type roleNode interface {
@@ -19,6 +23,9 @@
 		return err
 	}
 	n, err := open(p)
+	if segment.IsRefusal(err) {
+		return p.awaitDiskRecovery(err, caught, segment.OSFileSystem{})
+	}
 	if err != nil {
 		return err
 	}
--- a/internal/chain/cluster_test.go
+++ b/internal/chain/cluster_test.go
@@ -10,7 +10,6 @@
 	"go.uber.org/zap"
 
 	"nickelline/internal/peer"
-	"nickelline/internal/segment"
 	"nickelline/internal/view"
 )
 
@@ -45,6 +44,7 @@
 // member is a replica with its directory. It may be closed and opened again at the same address.
 type member struct {
 	directory    string
+	files        *refusingFiles
 	self         view.Member
 	transport    *peer.Transport
 	machine      *sumMachine
@@ -83,7 +83,7 @@
 		}
 	}
 	for i := range transports {
-		m := &member{directory: t.TempDir()}
+		m := &member{directory: t.TempDir(), files: &refusingFiles{}}
 		c.members = append(c.members, m)
 		c.open(m, transports[i], i < seeds)
 	}
@@ -107,8 +107,7 @@
 
 func (c *cluster) open(m *member, transport *peer.Transport, firstStart bool) {
 	c.t.Helper()
-	fileSystem := segment.OSFileSystem{}
-	replica, _, err := view.LoadIdentity(fileSystem, m.directory)
+	replica, _, err := view.LoadIdentity(m.files, m.directory)
 	if err != nil {
 		c.t.Fatal(err)
 	}
@@ -118,7 +117,7 @@
 	m.node, err = Open(Options{
 		Self:            m.self,
 		Dispatcher:      NewDispatcher(transport, zap.NewNop()),
-		FileSystem:      fileSystem,
+		FileSystem:      m.files,
 		Directory:       m.directory + "/chain",
 		StateMachine:    m.machine,
 		MinimumReplicas: c.policy.MinimumMembers,
--- a/internal/chain/disk_writer.go
+++ b/internal/chain/disk_writer.go
@@ -1,13 +1,25 @@
 package chain
 
 import (
+	"errors"
 	"sync"
 	"time"
 
+	"go.uber.org/zap"
+
 	"nickelline/internal/segment"
 )
 
-// diskWriter carries out the disk operations of a node in order. Operations that are queued together share one sync.
+// refusalPause is the pause before operations that the disk has refused are tried again.
+const refusalPause = 100 * time.Millisecond
+
+// errWriterStopped is the error of operations that the disk refused until the writer was stopped.
+var errWriterStopped = errors.New("the disk writer was stopped")
+
+// diskWriter carries out the disk operations of a node in order. Operations that are queued together share one sync. While the disk
+// refuses writes, as a full disk does, it tries the same operations again: the replica then counts as impaired, like one with a stalled
+// disk, takes no part in commits, and goes on once the disk takes writes again. Any other failure ends the replica: after a failed
+// sync it is unknown what is on the disk.
 type diskWriter struct {
 	node *Node
 	log  *segment.Log
@@ -18,7 +30,9 @@
 	mutex     sync.Mutex
 	queue     []DiskOperation
 	busySince time.Time // when the operations under way began, zero if there are none
-	// watchdog calls onStall when operations take too long; nil without onStall.
+	refused   bool      // the disk has refused an operation under way
+	// onStall, if set, is called when operations take too long, by watchdog, or are refused.
+	onStall  func()
 	watchdog *time.Timer
 }
 
@@ -26,7 +40,7 @@
 // its members is stalled.
 const stallLimit = 600 * time.Millisecond
 
-// newDiskWriter returns a writer that calls onStall, if it is set, whenever operations take longer than stallLimit.
+// newDiskWriter returns a writer that calls onStall, if it is set, whenever operations take longer than stallLimit or are refused.
 func newDiskWriter(n *Node, log *segment.Log, onStall func()) *diskWriter {
 	d := &diskWriter{
 		node: n,
@@ -34,6 +48,8 @@
 		wake: make(chan struct{}, 1),
 		quit: make(chan struct{}),
 		done: make(chan struct{}),
+
+		onStall: onStall,
 	}
 	if onStall != nil {
 		d.watchdog = time.AfterFunc(stallLimit, onStall)
@@ -89,23 +105,46 @@
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	d.busySince = time.Time{}
+	d.refused = false
 	if d.watchdog != nil {
 		d.watchdog.Stop()
 	}
 }
 
-// startWatchdog arranges for onStall to be called if the operations that begin now take too long. The mutex is held.
+// startWatchdog arranges for onStall, if it is set, to be called if the operations that begin now take too long. The mutex is held.
 func (d *diskWriter) startWatchdog() {
 	if d.watchdog != nil {
 		d.watchdog.Reset(stallLimit + time.Millisecond)
 	}
 }
 
-// stalled reports whether the operations under way have taken longer than stallLimit.
+// stalled reports whether the operations under way have taken longer than stallLimit, or the disk refuses them.
 func (d *diskWriter) stalled(now time.Time) bool {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	return !d.busySince.IsZero() && now.Sub(d.busySince) > stallLimit
+	return d.refused || !d.busySince.IsZero() && now.Sub(d.busySince) > stallLimit
+}
+
+// refuses reports whether the disk refuses the operations under way.
+func (d *diskWriter) refuses() bool {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.refused
+}
+
+// recordRefusal records that the disk has refused an operation under way. At the first refusal it logs the error and calls onStall.
+func (d *diskWriter) recordRefusal(err error) {
+	d.mutex.Lock()
+	first := !d.refused
+	d.refused = true
+	d.mutex.Unlock()
+	if !first {
+		return
+	}
+	d.node.options.Log.Warn("disk refuses writes, trying again", zap.Uint32("chain", d.node.options.Chain), zap.Error(err))
+	if d.onStall != nil {
+		d.onStall()
+	}
 }
 
 // run carries out queued operations until the writer is stopped or the disk fails.
@@ -121,9 +160,11 @@
 		if len(operations) == 0 {
 			continue
 		}
-		if err := d.write(operations); err != nil {
+		if err := d.writeUntilAccepted(operations); err != nil {
 			d.markIdle()
-			d.node.fail(err, true)
+			if !errors.Is(err, errWriterStopped) {
+				d.node.fail(err, true)
+			}
 			return
 		}
 		d.markIdle()
@@ -132,16 +173,53 @@
 	}
 }
 
-// write carries out operations, and returns once they are on disk.
-func (d *diskWriter) write(operations []DiskOperation) error {
-	unsynced := false
-	for _, operation := range operations {
+// writeUntilAccepted carries out operations, and returns once they are on disk. While the disk refuses them, it tries again.
+func (d *diskWriter) writeUntilAccepted(operations []DiskOperation) error {
+	b := diskBatch{remaining: operations}
+	for {
+		err := d.write(&b)
+		if err == nil && d.refuses() {
+			d.node.options.Log.Info("disk takes writes again", zap.Uint32("chain", d.node.options.Chain))
+		}
+		if err == nil || !segment.IsRefusal(err) {
+			return err
+		}
+		d.recordRefusal(err)
+		if !d.pause(refusalPause) {
+			return errWriterStopped
+		}
+	}
+}
+
+// pause waits, and reports whether the writer has not been stopped meanwhile.
+func (d *diskWriter) pause(duration time.Duration) bool {
+	timer := time.NewTimer(duration)
+	defer timer.Stop()
+	select {
+	case <-d.quit:
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+// diskBatch holds operations that are carried out together, and how far that has got.
+type diskBatch struct {
+	remaining []DiskOperation // not carried out yet
+	unsynced  bool            // the log needs a sync for the operations that were carried out
+}
+
+// write carries out the remaining operations, and returns once they are on disk. After an error it may be called again.
+func (d *diskWriter) write(b *diskBatch) error {
+	for len(b.remaining) > 0 {
+		operation := b.remaining[0]
 		if err := d.writeOne(operation); err != nil {
 			return err
 		}
-		unsynced = unsynced || operation.Append != nil || operation.Truncate != nil
+		b.remaining = b.remaining[1:]
+		b.unsynced = b.unsynced || operation.Append != nil || operation.Truncate != nil
 	}
-	if !unsynced {
+	if !b.unsynced {
 		return nil
 	}
 	return d.log.Sync()
--- /dev/null
+++ b/internal/chain/full_disk_test.go
@@ -0,0 +1,213 @@
+package chain
+
+import (
+	"encoding/binary"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"nickelline/internal/segment"
+	"nickelline/internal/view"
+)
+
+// refusingFiles is the file system of the operating system, which refuses writes while it is set to, as a full disk does.
+type refusingFiles struct {
+	segment.OSFileSystem
+	refuse  atomic.Bool
+	refused atomic.Int64 // writes that were refused
+}
+
+type refusingFile struct {
+	segment.File
+	files *refusingFiles
+}
+
+// refusal returns an error if writes are refused.
+func (f *refusingFiles) refusal() error {
+	if !f.refuse.Load() {
+		return nil
+	}
+	f.refused.Add(1)
+	return syscall.ENOSPC
+}
+
+func (f *refusingFiles) wrap(file segment.File, err error) (segment.File, error) {
+	if err != nil {
+		return nil, err
+	}
+	return &refusingFile{File: file, files: f}, nil
+}
+
+func (f *refusingFiles) Create(path string) (segment.File, error) {
+	if err := f.refusal(); err != nil {
+		return nil, err
+	}
+	return f.wrap(f.OSFileSystem.Create(path))
+}
+
+func (f *refusingFiles) OpenAppend(path string) (segment.File, error) {
+	return f.wrap(f.OSFileSystem.OpenAppend(path))
+}
+
+func (f *refusingFiles) Rename(from, to string) error {
+	if err := f.refusal(); err != nil {
+		return err
+	}
+	return f.OSFileSystem.Rename(from, to)
+}
+
+// Write writes half of the data if writes are refused, as a disk does that becomes full.
+func (f *refusingFile) Write(data []byte) (int, error) {
+	if err := f.files.refusal(); err != nil {
+		written, _ := f.File.Write(data[:len(data)/2])
+		return written, err
+	}
+	return f.File.Write(data)
+}
+
+// eventually polls a condition until it holds, and fails the test after testTimeout.
+func eventually(t *testing.T, what string, condition func() bool) {
+	t.Helper()
+	deadline := time.NewTimer(testTimeout)
+	defer deadline.Stop()
+	poll := time.NewTicker(5 * time.Millisecond)
+	defer poll.Stop()
+	for !condition() {
+		select {
+		case <-poll.C:
+		case <-deadline.C:
+			t.Fatalf("timed out waiting for: %s", what)
+		}
+	}
+}
+
+// checkNotFailed checks that no replica of the cluster has ended.
+func (c *cluster) checkNotFailed() {
+	c.t.Helper()
+	for i, m := range c.members {
+		if m.node.stopped() {
+			c.t.Errorf("replica %d has ended, want it to go on", i)
+		}
+	}
+}
+
+// TestChainWaitsForAFullDisk guards against a replica that ends because its disk is full, in a chain that cannot do without it.
+func TestChainWaitsForAFullDisk(t *testing.T) {
+	for name, full := range map[string]int{"head": 0, "tail": 1} {
+		t.Run(name, func(t *testing.T) {
+			c := newCluster(t, 2, 2)
+			c.propose(c.members[0], 1)
+			m := c.members[full]
+			m.files.refuse.Store(true)
+			result := make(chan uint64, 1)
+			go func() {
+				encoded, err := c.members[0].node.Propose(testContext(t), addCommand(2))
+				if err != nil {
+					t.Error(err)
+					encoded = make([]byte, 8)
+				}
+				result <- binary.LittleEndian.Uint64(encoded)
+			}()
+			eventually(t, "the disk refuses a second write", func() bool { return m.files.refused.Load() >= 2 })
+			if !m.node.Impaired() || !m.node.DiskRefusesWrites() {
+				t.Error("replica with a full disk: got working, want impaired")
+			}
+			select {
+			case got := <-result:
+				t.Errorf("acknowledged with a full disk: got sum %d, want none", got)
+			default:
+			}
+			m.files.refuse.Store(false)
+			if got := <-result; got != 3 {
+				t.Errorf("sum once the disk takes writes: got %d, want 3", got)
+			}
+			c.checkNotFailed()
+			eventually(t, "the replica works again", func() bool { return !m.node.Impaired() })
+			c.close(m)
+			c.reopen(m)
+			c.announce()
+			if got := c.total(m); got != 3 {
+				t.Errorf("sum after a restart: got %d, want 3", got)
+			}
+		})
+	}
+}
+
+// TestChainGoesOnWithoutAFullDisk fills the disk of each replica in turn, in a chain that can do without one.
+func TestChainGoesOnWithoutAFullDisk(t *testing.T) {
+	c := newCluster(t, 3, 3)
+	want := c.propose(c.members[0], 1)
+	for i, m := range c.members {
+		m.files.refuse.Store(true)
+		other := c.members[(i+1)%len(c.members)]
+		eventually(t, "the chain goes on without the replica", func() bool {
+			_, err := other.node.Propose(testContext(t), addCommand(0)) // may be cancelled by the change of the view
+			return err == nil
+		})
+		want++
+		if got := c.propose(other, 1); got != want {
+			t.Fatalf("sum while the disk of replica %d is full: got %d, want %d", i, got, want)
+		}
+		m.files.refuse.Store(false)
+		c.awaitView(other, ofSize(3))
+		if got := c.total(m); got != want {
+			t.Fatalf("sum at replica %d, whose disk was full: got %d, want %d", i, got, want)
+		}
+	}
+	c.checkNotFailed()
+}
+
+// TestFullDiskAcrossARestart kills a replica while its disk refuses writes: what was acknowledged is there afterwards.
+func TestFullDiskAcrossARestart(t *testing.T) {
+	c := newCluster(t, 2, 2)
+	want := c.propose(c.members[0], 1)
+	for range 5 {
+		m := c.members[1]
+		m.files.refuse.Store(true)
+		go func() { _, _ = c.members[0].node.Propose(testContext(t), addCommand(0)) }()
+		before := m.files.refused.Load()
+		eventually(t, "the disk refuses a write", func() bool { return m.files.refused.Load() > before })
+		c.close(m)
+		m.files.refuse.Store(false)
+		c.reopen(m)
+		c.announce()
+		want += 2
+		if got := c.propose(c.members[0], 2); got != want {
+			t.Fatalf("sum after a restart: got %d, want %d", got, want)
+		}
+	}
+}
+
+// TestVoterDoesNotAnswerWhatIsNotOnDisk guards against a vote that is lost with a restart: after a refused write the voter must not give
+// the answer that it has only in memory.
+func TestVoterDoesNotAnswerWhatIsNotOnDisk(t *testing.T) {
+	c := newCluster(t, 3, 3)
+	c.propose(c.members[0], 1)
+	m := c.members[2]
+	current := m.node.View()
+	proposal := view.Accept{Epoch: current.Epoch + 1, Number: view.ProposalNumber{Round: 1_000_000}, View: current}
+	proposal.View.Epoch++
+	voter := m.reconfigurer.voter
+	m.files.refuse.Store(true)
+	for range 2 {
+		if answer, err := voter.prepare(view.Prepare{Epoch: proposal.Epoch, Number: proposal.Number}); err == nil {
+			t.Errorf("promise with a full disk: got %+v, want an error", answer)
+		}
+	}
+	for range 2 {
+		if answer, err := voter.accept(proposal); err == nil {
+			t.Errorf("vote with a full disk: got %+v, want an error", answer)
+		}
+	}
+	m.files.refuse.Store(false)
+	answer, err := voter.accept(proposal)
+	if err != nil || !answer.Granted {
+		t.Fatalf("vote once the disk takes writes: got %+v, %v, want it granted", answer, err)
+	}
+	reopened, err := openVoter(m.node, nil)
+	if err != nil || reopened.acceptor.State().Accepted == nil {
+		t.Errorf("vote on disk: got %+v, %v, want the accepted view", reopened, err)
+	}
+	c.checkNotFailed()
+}
--- a/internal/chain/options.go
+++ b/internal/chain/options.go
@@ -30,8 +30,8 @@
 	// OnFailure, if set, is called once if the disk or the state machine fails. The replica takes no part in the protocol
 	// from then on.
 	OnFailure func(error)
-	// OnStall, if set, is called when disk operations have taken longer than stallLimit, once for each stall. Impaired
-	// reports the same.
+	// OnStall, if set, is called when disk operations have taken longer than stallLimit or are refused, once for each of
+	// these. Impaired reports the same.
 	OnStall func()
 	// Log receives the events of the replica; nil discards them.
 	Log *zap.Logger
--- a/internal/chain/status.go
+++ b/internal/chain/status.go
@@ -47,5 +47,8 @@
 	return n.replica.HeadTerm()
 }
 
-// Impaired reports whether this replica has failed or its disk is stalled, so that the chain should go on without it.
+// Impaired reports whether this replica has failed, or its disk is stalled or refuses writes, so that the chain should go on without it.
 func (n *Node) Impaired() bool { return n.stopped() || n.disk.stalled(time.Now()) }
+
+// DiskRefusesWrites reports whether the disk refuses what this replica has to write, as a full disk does.
+func (n *Node) DiskRefusesWrites() bool { return n.disk.refuses() }
--- a/internal/chain/voter.go
+++ b/internal/chain/voter.go
@@ -135,8 +135,9 @@
 	return state.Epoch > epoch && state.Accepted != nil
 }
 
-// saveIfChanged writes the state unless it equals before. Once the node has failed it returns an error, so that a voter
-// whose disk failed answers nothing.
+// saveIfChanged writes the state unless it equals before. If the disk refuses that, the state is before again, so that a later request
+// does not find an answer here that is not on disk. Once the node has failed it returns an error, so that a voter whose disk
+// failed answers nothing.
 func (vt *voter) saveIfChanged(before view.AcceptorState) error {
 	if vt.node.stopped() {
 		return fault.New(fault.NotReady, "the replica has failed")
@@ -145,7 +146,10 @@
 		return nil
 	}
 	err := vt.save()
-	if err != nil {
+	switch {
+	case segment.IsRefusal(err):
+		vt.acceptor = view.NewAcceptor(before)
+	case err != nil:
 		vt.node.fail(err, true)
 	}
 	return err
--- a/internal/segment/doc.go
+++ b/internal/segment/doc.go
@@ -11,6 +11,10 @@
 //
 // # Requirements on the caller
 //
+// A write that the disk refuses (IsRefusal), because it is full or fails to write, leaves the log open and as it was: the caller may try
+// the operation again. After a failed sync, or if a refused write cannot be undone, it is unknown what is on the disk, and the
+// log closes itself.
+//
 // Append and TruncateAfter only buffer: whatever depends on an entry being durable, such as an acknowledgement, has to wait
 // for a Sync. A log that returned an error matching ErrClosed has to be opened again before it can be used, because the
 // contents of the disk are unknown. The data of an entry must not be changed after Append. A replica whose directory is damaged
--- a/internal/segment/errors.go
+++ b/internal/segment/errors.go
@@ -1,6 +1,9 @@
 package segment
 
-import "errors"
+import (
+	"errors"
+	"syscall"
+)
 
 // ErrDamaged is matched by the error for contents that were written completely and can no longer be read.
 var ErrDamaged = errors.New("stored data is damaged")
@@ -19,6 +22,20 @@
 // errClosedByOwner is the reason that closedError names after a call of Close.
 var errClosedByOwner = errors.New("closed by its owner")
 
+// IsRefusal reports whether an error means that the disk did not take a write, as a full disk does, and that what was on it before is
+// unchanged: the operation may be tried again. A failed sync of a log is no refusal, as it closes the log.
+func IsRefusal(err error) bool {
+	if errors.Is(err, ErrClosed) {
+		return false
+	}
+	for _, refusal := range []syscall.Errno{syscall.ENOSPC, syscall.EDQUOT, syscall.EFBIG, syscall.EIO, syscall.EROFS} {
+		if errors.Is(err, refusal) {
+			return true
+		}
+	}
+	return false
+}
+
 // closedError matches ErrClosed and the reason why the log is closed.
 type closedError struct{ reason error }
 
--- a/internal/segment/snapshot.go
+++ b/internal/segment/snapshot.go
@@ -1,6 +1,11 @@
 package segment
 
-import "github.com/ansel1/merry/v2"
+import (
+	"errors"
+	"io/fs"
+
+	"github.com/ansel1/merry/v2"
+)
 
 // SaveSnapshot saves the state after the entries up to the snapshot's sequence number, and removes segments that neither it nor
 // the snapshot before it needs. Entries may be appended and synced meanwhile. If it fails, the log is unchanged. The error
@@ -39,7 +44,7 @@
 		return merry.Prepend(err, "write snapshot")
 	}
 	if err := l.fileSystem.Rename(temporary, l.path(name.String())); err != nil {
-		return l.fail(merry.Prepend(err, "rename snapshot"))
+		return l.undoRename(temporary, name, merry.Prepend(err, "rename snapshot"))
 	}
 	if err := l.fileSystem.SyncDirectory(l.directory); err != nil {
 		return l.fail(merry.Prepend(err, "sync directory"))
@@ -47,6 +52,16 @@
 	return l.beginGeneration(name, s)
 }
 
+// undoRename removes the snapshot of a new generation whose renaming failed, under both of its names: if it stayed, the next Open would
+// take it for the newest state. If that fails, the log is closed. It returns the error of the renaming, or the one of a closed log.
+func (l *Log) undoRename(temporary string, name snapshotName, cause error) error {
+	_ = l.fileSystem.Remove(temporary)
+	if err := l.fileSystem.Remove(l.path(name.String())); err != nil && !errors.Is(err, fs.ErrNotExist) {
+		return l.fail(cause)
+	}
+	return cause
+}
+
 // snapshotPlan describes a snapshot that is about to be written.
 type snapshotPlan struct {
 	name snapshotName
--- a/internal/store/progress.go
+++ b/internal/store/progress.go
@@ -21,7 +21,8 @@
 	maxReportAttempts = 3
 )
 
-// Run reports the progress of the partitions to the control nodes, at intervals and after changes, until ctx ends.
+// Run reports the progress of the partitions to the control nodes, at intervals and after changes, until ctx ends. At the same
+// intervals it tries again to open replicas that could not be opened.
 func (s *Service) Run(ctx context.Context) {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
@@ -33,6 +34,7 @@
 		case <-s.changed:
 			pause.For(ctx, reportDelay)
 		}
+		s.openUnopened()
 		s.report(ctx)
 		timer.Reset(s.options.ReportInterval)
 	}
--- a/internal/store/service.go
+++ b/internal/store/service.go
@@ -46,6 +46,7 @@
 	mutex      sync.Mutex
 	partitions map[uint32]*hostedPartition
 	placements map[uint32]*placement.Partition // the newest placement of each partition
+	unopened   map[uint32]bool                 // partitions placed here whose replica could not be opened
 	monitor    *replicationMonitor
 	closed     bool
 }
@@ -61,6 +62,7 @@
 		readConfirmationAge: settlement / readConfirmationDivisor,
 		partitions:          map[uint32]*hostedPartition{},
 		placements:          map[uint32]*placement.Partition{},
+		unopened:            map[uint32]bool{},
 		monitor:             newReplicationMonitor(options.Log),
 		changed:             make(chan struct{}, 1),
 	}
--- a/internal/store/stats.go
+++ b/internal/store/stats.go
@@ -22,6 +22,8 @@
 	// has done so that has lagged longest.
 	Lagging    int
 	LongestLag time.Duration
+	// Refusing counts the replicas whose disk refuses writes, as a full disk does.
+	Refusing int
 	// Routes counts the items by the name of their route.
 	Routes map[string]RouteStats
 	// Held counts how often an item that was next was not sent, by the name of its route and the reason.
@@ -36,6 +38,9 @@
 	s.mutex.Unlock()
 	stats := Stats{Partitions: len(partitions), Lagging: lagging, LongestLag: longest, Routes: map[string]RouteStats{}, Held: s.runnerConfig.held.byRoute()}
 	for _, hosted := range partitions {
+		if hosted.node.DiskRefusesWrites() {
+			stats.Refusing++
+		}
 		if r := hosted.runner.Load(); r != nil {
 			stats.Heads++
 			r.addStats(stats.Routes)
