Segment: a recovered log rests only on names that are on the disk

Callers would see: a replica's log is gone, or back at an older state, after a kill and then a loss of power (LOST).

Open took it for the log, removed the files that it replaces, and synced nothing while no segment follows it. A loss of power before the next append could then undo the name and keep the removals.

--- a/internal/segment/crash_test.go
+++ b/internal/segment/crash_test.go
@@ -14,7 +14,7 @@
 )
 
 const (
-	historyCount       = 2000
+	historyCount       = 4000
 	historySteps       = 60
 	logDirectory       = "data/log"
 	maxEntryBytes      = 60
@@ -84,7 +84,7 @@
 
 func (h *history) last() state { return h.states[len(h.states)-1] }
 
-// open opens the log and checks the recovered state. It retries after power losses and failed syncs.
+// open opens the log and checks the recovered state. It retries after ends of the process and failed syncs.
 func (h *history) open() {
 	for {
 		fileSystem := h.disk.Mount()
@@ -93,7 +93,7 @@
 		}
 		log, recovered, err := segment.Open(fileSystem, logDirectory, segment.Options{SegmentSize: historySegmentSize, BufferSize: historyBufferSize})
 		if errors.Is(err, simnet.ErrProcessEnded) {
-			h.disk.LosePower()
+			h.endProcess()
 			continue
 		}
 		if errors.Is(err, simnet.ErrSyncFailed) {
@@ -183,13 +183,22 @@
 	}
 }
 
-// handle reports whether an operation succeeded. After a loss of power, or if the log has closed itself, it opens the log again.
+// endProcess ends the process in the middle of an operation: by a kill, or with a loss of power.
+func (h *history) endProcess() {
+	if h.random.IntN(2) == 0 {
+		h.disk.Kill()
+		return
+	}
+	h.disk.LosePower()
+}
+
+// handle reports whether an operation succeeded. After the end of the process, or if the log has closed itself, it opens the log again.
 func (h *history) handle(err error) (succeeded bool) {
 	switch {
 	case err == nil:
 		return true
 	case errors.Is(err, simnet.ErrProcessEnded):
-		h.disk.LosePower()
+		h.endProcess()
 		h.open()
 	case errors.Is(err, segment.ErrClosed):
 		h.open()
@@ -241,3 +250,27 @@
 		t.Errorf("seeds with reported damage: got %d of %d, want at least %d", reported, historyCount, historyCount/10)
 	}
 }
+
+// TestRecoveredLogSurvivesALossOfPower kills the process after each number of disk operations of a Reset, opens the log again, and cuts
+// the power before anything is appended. It guards against a log that is recovered from names that are not on the disk yet.
+func TestRecoveredLogSurvivesALossOfPower(t *testing.T) {
+	const maxOperations, seeds = 12, 40
+	for operations := range maxOperations {
+		for seed := range uint64(seeds) {
+			disk := simnet.NewDisk(rand.New(rand.NewPCG(seed, 3)))
+			log, _ := reopen(t, disk)
+			mustSucceed(t, log.Append(entry(1), entry(2)))
+			mustSucceed(t, log.Sync())
+			disk.LosePowerAfter(operations)
+			_ = log.Reset(segment.Snapshot{Sequence: 40, Data: []byte("state")})
+			disk.Kill()
+			log, _ = reopen(t, disk)
+			want := log.LastSequence()
+			disk.LosePower()
+			log, _, err := segment.Open(disk.Mount(), logDirectory, segment.Options{})
+			if err != nil || log.LastSequence() != want {
+				t.Fatalf("killed after %d operations, seed %d: got %v, %v, want the log that ends at %d, as recovered before", operations, seed, log, err, want)
+			}
+		}
+	}
+}
--- a/internal/segment/resume.go
+++ b/internal/segment/resume.go
@@ -10,6 +10,9 @@
 func (r *recovery) resume(log *Log) error {
 	r.snapshots = r.snapshots[max(0, len(r.snapshots)-retainedSnapshots):]
 	obsolete := append(r.obsoleteFiles(), r.dropEmptySegment()...)
+	if err := r.syncNames(obsolete); err != nil {
+		return err
+	}
 	if err := removeFiles(r.fileSystem, r.directory, obsolete); err != nil {
 		return err
 	}
@@ -32,6 +35,19 @@
 	return r.openCurrent(log)
 }
 
+// syncNames syncs the directory if the log would otherwise rest on a name that is not on the disk yet, because a process that was killed
+// has given it to a snapshot: before files are removed that this snapshot replaces, and if no segment follows it, as the
+// directory is not synced again then.
+func (r *recovery) syncNames(obsolete []string) error {
+	if len(r.snapshots) == 0 || len(obsolete) == 0 && len(r.segments) > 0 {
+		return nil
+	}
+	if err := r.fileSystem.SyncDirectory(r.directory); err != nil {
+		return merry.Prepend(err, "sync directory")
+	}
+	return nil
+}
+
 // obsoleteFiles returns the names of files that are no longer needed. These include files that were removed before and that a
 // loss of power brought back.
 func (r *recovery) obsoleteFiles() []string {
