Store: an unfinished removal of a partition's log is finished at the next start

Callers would see: a store that is killed while it removes the log of a moved partition discards all of its partitions at the next start.

Cause: the log is removed file by file, and what a kill leaves of it counts as a damaged log.

Evidence: TestUnfinishedRemovalIsFinished on the former code: 'segment 1 is missing: stored data is damaged'. A first form of the mend, with its mark in the partition's folder, failed too: a loss of power brought the mark back, and a later log was removed for it.

Mend: an empty file in the log's folder, on the disk before anything is removed and the last to go, marks a removal; opening a partition finishes one. Real damage of one log still costs the store all of its partitions (docs/incidents/unsynced-names.md).

--- a/internal/store/discard_test.go
+++ b/internal/store/discard_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"errors"
+	"math/rand/v2"
 	"os"
 	"path/filepath"
 	"testing"
 
 	"nickelline/internal/chain"
 	"nickelline/internal/segment"
+	"nickelline/internal/simnet"
 	"nickelline/internal/view"
 )
 
@@ -55,3 +57,69 @@
 		}
 	}
 }
+
+// TestUnfinishedRemovalIsFinished kills the process, or cuts the power, after each number of disk operations of a removal. It guards
+// against a log that is partly removed and counts as damaged at the next start, for which the store would discard all of its partitions.
+func TestUnfinishedRemovalIsFinished(t *testing.T) {
+	const directory, maxOperations, seeds = "data/partition-1/log", 16, 60
+	for operations := range maxOperations {
+		for seed := range uint64(seeds) {
+			disk := simnet.NewDisk(rand.New(rand.NewPCG(seed, 5)))
+			writeLog(t, disk.Mount(), directory)
+			mounted := disk.Mount()
+			disk.LosePowerAfter(operations)
+			removed := removeLog(mounted, directory)
+			if seed%2 == 0 {
+				disk.Kill()
+			} else {
+				disk.LosePower()
+			}
+			mounted = disk.Mount()
+			if err := finishRemoval(mounted, directory); err != nil {
+				t.Fatalf("seed %d: %v", seed, err)
+			}
+			log, recovered, err := segment.Open(mounted, directory, segment.Options{})
+			if err != nil {
+				t.Fatalf("ended after %d operations, seed %d: got %v, want a log that can be opened", operations, seed, err)
+			}
+			if left := len(recovered.Entries); left != 0 && (left != removalEntries || removed == nil) {
+				t.Fatalf("ended after %d operations, seed %d: got %d entries, want none or all", operations, seed, left)
+			}
+			checkLogStays(t, disk, log, directory)
+		}
+	}
+}
+
+// removalEntries is the number of entries that writeLog writes, one a segment.
+const removalEntries = 5
+
+func writeLog(t *testing.T, fileSystem segment.FileSystem, directory string) {
+	t.Helper()
+	log, _, err := segment.Open(fileSystem, directory, segment.Options{SegmentSize: 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for sequence := range uint64(removalEntries) {
+		if err := errors.Join(log.Append(segment.Entry{Sequence: sequence + 1}), log.Sync()); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+// checkLogStays checks that what is appended after a removal is there after a loss of power.
+func checkLogStays(t *testing.T, disk *simnet.Disk, log *segment.Log, directory string) {
+	t.Helper()
+	want := log.LastSequence() + 1
+	if err := errors.Join(log.Append(segment.Entry{Sequence: want}), log.Sync()); err != nil {
+		t.Fatal(err)
+	}
+	disk.LosePower()
+	mounted := disk.Mount()
+	if err := finishRemoval(mounted, directory); err != nil {
+		t.Fatal(err)
+	}
+	log, _, err := segment.Open(mounted, directory, segment.Options{})
+	if err != nil || log.LastSequence() != want {
+		t.Fatalf("log of a partition that was placed here again: got %v, %v, want it to end at %d", log, err, want)
+	}
+}
--- a/internal/store/service.go
+++ b/internal/store/service.go
@@ -119,9 +119,16 @@
 	return path.Join(s.options.Directory, fmt.Sprintf("%s%d", partitionDirectoryPrefix, number))
 }
 
+func (s *Service) logOf(number uint32) string {
+	return path.Join(s.directoryOf(number), chain.LogDirectory)
+}
+
 // open opens the replica of a partition, which is empty if there is none on the disk, and starts it. The caller holds the mutex, or
 // is New.
 func (s *Service) open(number uint32) (*hostedPartition, error) {
+	if err := finishRemoval(s.options.FileSystem, s.logOf(number)); err != nil {
+		return nil, fmt.Errorf("open partition %d: %w", number, err)
+	}
 	hosted := newHostedPartition(s, number)
 	node, err := chain.Open(chain.Options{
 		Chain:           number,
