--- a/internal/proxy/owned_jobs_test.go
+++ b/internal/proxy/owned_jobs_test.go
@@ -118,3 +118,23 @@
 		})
 	}
 }
+
+// TestJobsOfATimeWithoutTenantsBelongToNone guards against jobs that were accepted while the configuration had no tenants and that
+// cannot be read, or can be read by a tenant, once it has some.
+func TestJobsOfATimeWithoutTenantsBelongToNone(t *testing.T) {
+	api := newStoredBatch()
+	s := startTestProxy(t, func(o *Options) { o.Batch = api })
+	s.setTenants(t, "null")
+	if a := s.roundTrip(t, batchCall("POST", "/batch/7c", "k1")); a.StatusCode != 202 {
+		t.Fatalf("submission without tenants: got status %d, want 202", a.StatusCode)
+	}
+	s.setTenants(t, `[{"name":"t1","apiKeys":["k1"]},{"name":"t2","apiKeys":["k3"]}]`)
+	for key, want := range map[string]int{"": 200, "k1": 404, "k3": 404, "k9": 401} {
+		if a := s.roundTrip(t, batchCall("GET", "/-/lots/"+testID, key)); a.StatusCode != want {
+			t.Errorf("results with key %q: got status %d, want %d", key, a.StatusCode, want)
+		}
+	}
+	if a := s.roundTrip(t, batchCall("DELETE", "/-/lots/"+testID, "")); a.StatusCode != 200 || !api.ended[batch.Key{Identifier: testID}] {
+		t.Errorf("end without a key: got status %d, ended %v, want 200 and ended", a.StatusCode, api.ended)
+	}
+}
