--- a/internal/batch/command_decoding.go
+++ b/internal/batch/command_decoding.go
@@ -59,19 +59,8 @@
 
 func decodeResults(root batchwire.Command, c *Command) error {
 	list, err := root.Append()
-	if err != nil {
-		return err
-	}
-	if err := capnpcodec.CheckLength(list); err != nil {
-		return err
-	}
-	c.Append = make([]Result, list.Len())
-	for i := range c.Append {
-		if err := decodeResult(list.At(i), &c.Append[i]); err != nil {
-			return err
-		}
-	}
-	return nil
+	c.Append, err = capnpcodec.DecodeList(list, err, decodeResult)
+	return err
 }
 
 func decodeResult(result batchwire.Result, r *Result) error {
@@ -105,40 +94,26 @@
 
 func decodeDrop(root batchwire.Command, c *Command) error {
 	list, err := root.Drop()
-	if err != nil {
+	c.Drop, err = capnpcodec.DecodeList(list, err, func(key batchwire.Key, k *Key) (err error) {
+		*k, err = DecodeKey(key)
 		return err
-	}
-	if err := capnpcodec.CheckLength(list); err != nil {
-		return err
-	}
-	c.Drop = make([]Key, list.Len())
-	for i := range c.Drop {
-		if c.Drop[i], err = DecodeKey(list.At(i)); err != nil {
-			return err
-		}
-	}
-	return nil
+	})
+	return err
 }
 
 func decodeFailures(root batchwire.Command, c *Command) error {
 	list, err := root.Fail()
+	c.Fail, err = capnpcodec.DecodeList(list, err, decodeFailure)
+	return err
+}
+
+func decodeFailure(failure batchwire.Failure, f *Failure) error {
+	key, err := failure.Key()
 	if err != nil {
 		return err
 	}
-	if err := capnpcodec.CheckLength(list); err != nil {
-		return err
-	}
-	c.Fail = make([]Failure, list.Len())
-	for i := range c.Fail {
-		key, err := list.At(i).Key()
-		if err != nil {
-			return err
-		}
-		if c.Fail[i].Key, err = DecodeKey(key); err != nil {
-			return err
-		}
-		c.Fail[i].Index = list.At(i).Index()
-		c.Fail[i].ServerErrors = list.At(i).ServerErrors()
-	}
-	return nil
+	f.Key, err = DecodeKey(key)
+	f.Index = failure.Index()
+	f.ServerErrors = failure.ServerErrors()
+	return err
 }
--- a/internal/batch/job_codec.go
+++ b/internal/batch/job_codec.go
@@ -94,20 +94,8 @@
 		return j, err
 	}
 	items, err := job.Items()
-	if err != nil {
-		return j, err
-	}
-	if err := capnpcodec.CheckLength(items); err != nil {
-		return j, err
-	}
-	j.Items = make([]Item, items.Len())
-	names := interner{}
-	for i := range j.Items {
-		if err := decodeItem(items.At(i), &j.Items[i], names); err != nil {
-			return j, err
-		}
-	}
-	return j, nil
+	j.Items, err = capnpcodec.DecodeList(items, err, interner{}.decodeItem)
+	return j, err
 }
 
 // routeDecoder is a message with the fields of a RouteRef. The prefix is empty in a message of a version that did not store it.
@@ -150,7 +138,8 @@
 	return added
 }
 
-func decodeItem(item batchwire.Item, i *Item, names interner) (err error) {
+// decodeItem decodes an item, and shares the names of its headers with other items that are decoded with the same interner.
+func (n interner) decodeItem(item batchwire.Item, i *Item) (err error) {
 	i.Tokens = item.Tokens()
 	if i.Identifier, err = item.Identifier(); err != nil {
 		return err
@@ -165,27 +154,19 @@
 	if err != nil {
 		return err
 	}
-	if err := capnpcodec.CheckLength(headers); err != nil {
-		return err
-	}
 	if headers.Len() == 0 {
 		return nil
 	}
-	i.Headers = make([]Header, headers.Len())
-	for n := range i.Headers {
-		if err := decodeHeader(headers.At(n), &i.Headers[n], names); err != nil {
-			return err
-		}
-	}
-	return nil
+	i.Headers, err = capnpcodec.DecodeList(headers, nil, n.decodeHeader)
+	return err
 }
 
-func decodeHeader(header batchwire.Header, h *Header, names interner) error {
+func (n interner) decodeHeader(header batchwire.Header, h *Header) error {
 	name, err := header.NameBytes()
 	if err != nil {
 		return err
 	}
-	h.Name = names.intern(name)
+	h.Name = n.intern(name)
 	h.Value, err = header.Value()
 	return err
 }
--- a/internal/batch/snapshot_decoding.go
+++ b/internal/batch/snapshot_decoding.go
@@ -13,16 +13,7 @@
 	if err != nil || chunks.Len() == 0 {
 		return nil, err
 	}
-	if err := capnpcodec.CheckLength(chunks); err != nil {
-		return nil, err
-	}
-	c := make(checkpoints, chunks.Len())
-	for i := range c {
-		if err := decodeCheckpoint(chunks.At(i), &c[i]); err != nil {
-			return nil, err
-		}
-	}
-	return c, nil
+	return capnpcodec.DecodeList(chunks, nil, decodeCheckpoint)
 }
 
 func decodeCheckpoint(chunk batchwire.Checkpoint, c *checkpoint) (err error) {
@@ -92,23 +83,11 @@
 
 func decodeItemStates(root batchwire.JobState, j *job) error {
 	states, err := root.Items()
-	if err != nil {
-		return err
-	}
-	if err := capnpcodec.CheckLength(states); err != nil {
-		return err
-	}
-	j.items = make([]item, states.Len())
-	names := interner{}
-	for i := range j.items {
-		if err := decodeItemState(states.At(i), &j.items[i], names); err != nil {
-			return err
-		}
-	}
-	return nil
+	j.items, err = capnpcodec.DecodeList(states, err, interner{}.decodeItemState)
+	return err
 }
 
-func decodeItemState(state batchwire.ItemState, i *item, names interner) error {
+func (n interner) decodeItemState(state batchwire.ItemState, i *item) error {
 	i.state = State(state.State())
 	i.serverErrors = state.ServerErrors()
 	content, err := state.Content()
@@ -123,7 +102,7 @@
 	if err != nil {
 		return err
 	}
-	if err := decodeItem(encoded, &i.Item, names); err != nil {
+	if err := n.decodeItem(encoded, &i.Item); err != nil {
 		return err
 	}
 	i.Body = clone(i.Body)
--- a/internal/capnpcodec/capnpcodec.go
+++ b/internal/capnpcodec/capnpcodec.go
@@ -100,3 +100,27 @@
 	}
 	return nil
 }
+
+// ListOf is a list of messages of one type.
+type ListOf[M any] interface {
+	List
+	At(i int) M
+}
+
+// DecodeList returns the decoded elements of a list, whose length it checks first. It takes the results of the method that returns the
+// list: if err is not nil, it is returned.
+func DecodeList[L ListOf[M], M, E any](list L, err error, decode func(M, *E) error) ([]E, error) {
+	if err != nil {
+		return nil, err
+	}
+	if err := CheckLength(list); err != nil {
+		return nil, err
+	}
+	elements := make([]E, list.Len())
+	for i := range elements {
+		if err := decode(list.At(i), &elements[i]); err != nil {
+			return nil, err
+		}
+	}
+	return elements, nil
+}
--- a/internal/chain/disk_writer.go
+++ b/internal/chain/disk_writer.go
@@ -10,12 +10,6 @@
 	"nickelline/internal/segment"
 )
 
-// refusalPause is the pause before operations that the disk has refused are tried again.
-const refusalPause = 100 * time.Millisecond
-
-// errWriterStopped is the error of operations that the disk refused until the writer was stopped.
-var errWriterStopped = errors.New("the disk writer was stopped")
-
 // diskWriter carries out the disk operations of a node in order. Operations that are queued together share one sync. While the disk
 // refuses writes, as a full disk does, it tries the same operations again: the replica then counts as impaired, like one with a stalled
 // disk, takes no part in commits, and goes on once the disk takes writes again. Any other failure ends the replica: after a failed
@@ -172,68 +166,3 @@
 		d.node.step(func(now time.Duration) { d.node.replica.DiskDone(now, last) })
 	}
 }
-
-// writeUntilAccepted carries out operations, and returns once they are on disk. While the disk refuses them, it tries again.
-func (d *diskWriter) writeUntilAccepted(operations []DiskOperation) error {
-	b := diskBatch{remaining: operations}
-	for {
-		err := d.write(&b)
-		if err == nil && d.refuses() {
-			d.node.options.Log.Info("disk takes writes again", zap.Uint32("chain", d.node.options.Chain))
-		}
-		if err == nil || !segment.IsRefusal(err) {
-			return err
-		}
-		d.recordRefusal(err)
-		if !d.pause(refusalPause) {
-			return errWriterStopped
-		}
-	}
-}
-
-// pause waits, and reports whether the writer has not been stopped meanwhile.
-func (d *diskWriter) pause(duration time.Duration) bool {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-d.quit:
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
-// diskBatch holds operations that are carried out together, and how far that has got.
-type diskBatch struct {
-	remaining []DiskOperation // not carried out yet
-	unsynced  bool            // the log needs a sync for the operations that were carried out
-}
-
-// write carries out the remaining operations, and returns once they are on disk. After an error it may be called again.
-func (d *diskWriter) write(b *diskBatch) error {
-	for len(b.remaining) > 0 {
-		operation := b.remaining[0]
-		if err := d.writeOne(operation); err != nil {
-			return err
-		}
-		b.remaining = b.remaining[1:]
-		b.unsynced = b.unsynced || operation.Append != nil || operation.Truncate != nil
-	}
-	if !b.unsynced {
-		return nil
-	}
-	return d.log.Sync()
-}
-
-// writeOne carries out an operation. Append and Truncate still need a sync of the log.
-func (d *diskWriter) writeOne(operation DiskOperation) error {
-	switch {
-	case operation.Append != nil:
-		return d.log.Append(operation.Append...)
-	case operation.Truncate != nil:
-		return d.log.TruncateAfter(*operation.Truncate)
-	case operation.Reset != nil:
-		return d.log.Reset(*operation.Reset)
-	}
-	return d.saveRecord(*operation.Record)
-}
--- a/internal/chain/doc.go
+++ b/internal/chain/doc.go
@@ -62,7 +62,7 @@
 //   - The roles of a replica in it: head.go, head_term.go, head_proposals.go, head_barriers.go; link.go and the files
 //     downstream_*.go (sending); the files upstream_*.go and acknowledge.go (receiving).
 //   - The driver: options.go, node.go, node_views.go, status.go, notifications.go, session_status.go, record_file.go, disk_writer.go,
-//     state_machine.go, applier.go, dispatcher.go.
+//     disk_batch.go, state_machine.go, applier.go, dispatcher.go.
 //   - Calls at a node: propose.go, forward.go, barrier.go, barrier_rounds.go, wait.go, retry.go.
 //   - The agreement on views: reconfigurer.go, candidates.go, plan.go, proposer_options.go, propose_view.go, voter.go,
 //     agreement_calls.go, discovery.go, neighbour_probes.go, learner.go, handover.go, confirm_majority.go, prover.go.
