--- a/internal/soak/tier_test.go
+++ b/internal/soak/tier_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"net/netip"
 	"os"
 	"path/filepath"
@@ -41,6 +42,29 @@
 // layout gives each process an address of its own loopback network, so that two runs do not meet.
 type layout struct{ network byte }
 
+const (
+	firstNetwork = 16
+	networks     = 200
+	// reservationPort is the port of a listener that a run holds in its network. No process of the tier uses it.
+	reservationPort = 8400
+)
+
+// reserveLayout returns a layout whose network no other run has, until the test ends.
+func reserveLayout(t *testing.T) layout {
+	t.Helper()
+	for i := range networks {
+		l := layout{network: byte(firstNetwork + (os.Getpid()+i)%networks)}
+		listener, err := net.Listen("tcp4", l.address(groupPlatform, 0, reservationPort).String())
+		if err != nil {
+			continue // another run has it
+		}
+		t.Cleanup(func() { _ = listener.Close() })
+		return l
+	}
+	t.Fatal("no loopback network is free")
+	return layout{}
+}
+
 func (l layout) address(group, number, port int) netip.AddrPort {
 	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, l.network, byte(group), byte(number + 1)}), uint16(port))
 }
@@ -70,7 +94,7 @@
 
 // newTier writes the settings of all processes. None is started yet.
 func newTier(t *testing.T, program, directory string, record *record) *tier {
-	tier := &tier{layout: layout{network: byte(16 + os.Getpid()%200)}, directory: directory}
+	tier := &tier{layout: reserveLayout(t), directory: directory}
 	add := func(role string, i int, group int) {
 		p := &process{
 			t: t, record: record, role: role, index: i, name: fmt.Sprintf("%s-%d", role, i),
