Chain: the test of full disks fills each disk in a chain of its own

Trace (views in force): a replica whose disk had been full is in the view again, is dropped 16 ms later by a verdict of before, and 4 ms before that the next disk, the head's, is filled; the view of the head and one other waits for the head's disk.

--- a/internal/chain/full_disk_test.go
+++ b/internal/chain/full_disk_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"fmt"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -134,28 +135,45 @@
 	}
 }
 
-// TestChainGoesOnWithoutAFullDisk fills the disk of each replica in turn, in a chain that can do without one.
+// TestChainGoesOnWithoutAFullDisk fills the disk of one replica, in a chain that can do without one: of the head, the next one, or the tail.
+// Each has a chain of its own, since a replica counts as lost for a while after its disk has taken writes again.
 func TestChainGoesOnWithoutAFullDisk(t *testing.T) {
-	c := newCluster(t, 3, 3)
-	want := c.propose(c.members[0], 1)
-	for i, m := range c.members {
-		m.files.refuse.Store(true)
-		other := c.members[(i+1)%len(c.members)]
-		eventually(t, "the chain goes on without the replica", func() bool {
-			_, err := other.node.Propose(testContext(t), addCommand(0)) // may be cancelled by the change of the view
-			return err == nil
+	for full := range 3 {
+		t.Run(fmt.Sprint(full), func(t *testing.T) {
+			c := newCluster(t, 3, 3)
+			want := c.propose(c.members[0], 1)
+			v := c.members[0].node.View()
+			m := c.memberAt(v, full)
+			other := c.memberAt(v, (full+1)%3)
+			m.files.refuse.Store(true)
+			eventually(t, "the chain goes on without the replica", func() bool {
+				_, err := other.node.Propose(testContext(t), addCommand(0)) // may be cancelled by the change of the view
+				return err == nil
+			})
+			want++
+			if got := c.propose(other, 1); got != want {
+				t.Fatalf("sum while a disk is full: got %d, want %d", got, want)
+			}
+			m.files.refuse.Store(false)
+			c.awaitView(other, ofSize(3))
+			if got := c.total(m); got != want {
+				t.Fatalf("sum at the replica whose disk was full: got %d, want %d", got, want)
+			}
+			c.checkNotFailed()
 		})
-		want++
-		if got := c.propose(other, 1); got != want {
-			t.Fatalf("sum while the disk of replica %d is full: got %d, want %d", i, got, want)
-		}
-		m.files.refuse.Store(false)
-		c.awaitView(other, ofSize(3))
-		if got := c.total(m); got != want {
-			t.Fatalf("sum at replica %d, whose disk was full: got %d, want %d", i, got, want)
+	}
+}
+
+// memberAt returns the member at a position of a view, from the head.
+func (c *cluster) memberAt(v view.View, position int) *member {
+	c.t.Helper()
+	for _, m := range c.members {
+		if m.self.Replica == v.Members[position].Replica {
+			return m
 		}
 	}
-	c.checkNotFailed()
+	c.t.Fatalf("no member at position %d of %+v", position, v)
+	return nil
 }
 
 // TestFullDiskAcrossARestart kills a replica while its disk refuses writes: what was acknowledged is there afterwards.
