Store: log and count why items are abandoned

Each decision is logged with the reason, the items and their counts of 500s, the age of the job by the partition's clock, the retention and maxAttempts that it was held against, the version of the configuration, the age of its proof, and the backend; a metric counts by route and reason. No decision changes.

--- a/cmd/nickelline/metrics.go
+++ b/cmd/nickelline/metrics.go
@@ -184,14 +184,15 @@
 		w.Gauge("nickelline_batch_items_late", float64(items.Late), label)
 		w.Gauge("nickelline_batch_items_running", float64(items.Running), label)
 	}
-	writeHeldItems(w, stats.Held)
+	writeRouteCounts(w, "nickelline_batch_items_held_total", stats.Held)
+	writeRouteCounts(w, "nickelline_batch_items_abandoned_total", stats.Abandoned)
 }
 
-// writeHeldItems writes how often items were not sent when they were next.
-func writeHeldItems(w *metrics.Writer, held map[string]map[string]uint64) {
-	for _, route := range slices.Sorted(maps.Keys(held)) {
-		for _, reason := range slices.Sorted(maps.Keys(held[route])) {
-			w.Counter("nickelline_batch_items_held_total", held[route][reason],
+// writeRouteCounts writes a counter that has labels for the route and the reason.
+func writeRouteCounts(w *metrics.Writer, name string, counts map[string]map[string]uint64) {
+	for _, route := range slices.Sorted(maps.Keys(counts)) {
+		for _, reason := range slices.Sorted(maps.Keys(counts[route])) {
+			w.Counter(name, counts[route][reason],
 				metrics.Label{Name: "route", Value: route}, metrics.Label{Name: "reason", Value: reason})
 		}
 	}
--- a/internal/store/attempt.go
+++ b/internal/store/attempt.go
@@ -31,12 +31,13 @@
 
 // attempt is one execution of an item at one backend.
 type attempt struct {
-	runner    *runner
-	item      *scheduler.Item
-	route     *configuration.Route
-	backend   discovery.Backend
-	permit    Permit
-	startTime time.Time
+	runner        *runner
+	item          *scheduler.Item
+	configuration *configuration.Current // by which the item is sent
+	route         *configuration.Route
+	backend       discovery.Backend
+	permit        Permit
+	startTime     time.Time
 
 	ctx           context.Context // of the attempt: ended by cancel, or with runnerContext
 	cancel        context.CancelCauseFunc
@@ -54,6 +55,7 @@
 	ctx context.Context,
 	r *runner,
 	item *scheduler.Item,
+	current *configuration.Current,
 	route *configuration.Route,
 	backend discovery.Backend,
 	permit Permit,
@@ -61,6 +63,7 @@
 	a := &attempt{
 		runner:        r,
 		item:          item,
+		configuration: current,
 		route:         route,
 		backend:       backend,
 		permit:        permit,
@@ -164,7 +167,7 @@
 			From:    result.checkpointEvents,
 		})
 	case stepAbandon:
-		r.abandonItem(a.runnerContext, a.item)
+		r.abandon(a.runnerContext, a.abandonment(result.reason), a.item)
 	case stepRetry:
 		if result.serverErrors == 0 {
 			r.schedule.DelayItem(a.item, time.Now().Add(result.backoff))
@@ -172,6 +175,11 @@
 	}
 }
 
+// abandonment returns the decision to abandon the item after a response of the attempt's backend.
+func (a *attempt) abandonment(reason abandonReason) abandonment {
+	return abandonment{reason: reason, configuration: a.configuration, route: a.route, backend: a.backend.ID}
+}
+
 // retryItem delays an item whose failure is recorded, if its job is still in the schedule.
 func (r *runner) retryItem(item *scheduler.Item, backoff time.Duration) {
 	r.mutex.Lock()
--- a/internal/store/attempt_result.go
+++ b/internal/store/attempt_result.go
@@ -31,6 +31,7 @@
 	backoff          time.Duration // of an item that is retried: before the next attempt
 	outcome          admission.Outcome
 	load             *admission.Load // reported by the backend, or nil
+	reason           abandonReason   // of an item that is abandoned
 	serverErrors     int             // of an item that is retried after an internal server error: how many it has had
 }
 
@@ -61,20 +62,27 @@
 
 // rejected returns the result of a response by which the backend rejects the item for good.
 func (a *attempt) rejected(response *forward.Response) attemptResult {
-	return resultForResponse(response, stepAbandon)
+	return abandonAfterResponse(response, abandonedByRejection)
 }
 
 // serverError returns the result of an internal server error. The item is abandoned when it has had as many as the route allows.
 func (a *attempt) serverError(response *forward.Response) attemptResult {
 	a.item.CountServerError()
 	if !a.item.MayRun(a.route.MaxAttempts) {
-		return resultForResponse(response, stepAbandon)
+		return abandonAfterResponse(response, abandonedByServerErrors)
 	}
 	result := a.retryAfterResponse(response)
 	result.serverErrors = a.item.ServerErrors()
 	return result
 }
 
+// abandonAfterResponse returns the result of a response after which the item is abandoned.
+func abandonAfterResponse(response *forward.Response, reason abandonReason) attemptResult {
+	result := resultForResponse(response, stepAbandon)
+	result.reason = reason
+	return result
+}
+
 // retryAfterResponse returns the result of a response that is not an event stream, and after which the item is tried again.
 func (a *attempt) retryAfterResponse(response *forward.Response) attemptResult {
 	backoff := a.item.Backoff(a.backend.ID)
--- a/internal/store/dispatch.go
+++ b/internal/store/dispatch.go
@@ -65,13 +65,13 @@
 	route := routeOf(current.Snapshot, &item.Job.Pending)
 	switch {
 	case route != nil && !item.MayRun(route.MaxAttempts):
-		r.abandonItem(ctx, item)
+		r.abandon(ctx, abandonment{reason: abandonedByServerErrors, configuration: current, route: route}, item)
 	case route != nil:
-		return r.send(ctx, current.Snapshot, route, item)
+		return r.send(ctx, current, route, item)
 	case r.mayPredate(current, &item.Job.Pending, now):
 		r.hold(item, heldByRoute, now.Add(unconfirmedPause))
 	default:
-		r.abandonItem(ctx, item)
+		r.abandon(ctx, abandonment{reason: abandonedByRoute, configuration: current}, item)
 	}
 	return true
 }
@@ -79,14 +79,14 @@
 // hold returns an item that cannot be sent to the schedule, and pauses its route.
 func (r *runner) hold(item *scheduler.Item, reason holdReason, until time.Time) {
 	route := item.Job.Pending.Route.Name
-	r.config.held.record(route, reason)
+	r.config.held.add(route, reason, 1)
 	r.schedule.GiveBack(item)
 	r.schedule.PauseRoute(route, until)
 }
 
 // send starts an attempt of an item, or returns the item to the schedule. It returns false if all slots are taken, so that no other
 // item can be sent. The caller holds the mutex.
-func (r *runner) send(ctx context.Context, snapshot *configuration.Snapshot, route *configuration.Route, item *scheduler.Item) bool {
+func (r *runner) send(ctx context.Context, current *configuration.Current, route *configuration.Route, item *scheduler.Item) bool {
 	now := time.Now()
 	service := route.Choose(rand.Float64())
 	if service == nil {
@@ -94,11 +94,11 @@
 		return true
 	}
 	if !r.config.slots.TryAcquire(r) {
-		r.config.held.record(item.Job.Pending.Route.Name, heldBySlots)
+		r.config.held.add(item.Job.Pending.Route.Name, heldBySlots, 1)
 		r.schedule.GiveBack(item) // Slots.Release wakes the loop
 		return false
 	}
-	backend, permit, refusal := r.config.admission.Pick(service.Name, now, admissionRequest(snapshot, route, item))
+	backend, permit, refusal := r.config.admission.Pick(service.Name, now, admissionRequest(current.Snapshot, route, item))
 	if refusal != nil {
 		r.config.slots.Release()
 		item.AvoidBackend = ""
@@ -106,7 +106,7 @@
 		r.enterRetryQueue(item.Job.Pending.Route.Name)
 		return true
 	}
-	a := newAttempt(ctx, r, item, route, backend, permit)
+	a := newAttempt(ctx, r, item, current, route, backend, permit)
 	r.running[item] = a
 	r.partition.running.Add(1)
 	go a.run()
--- a/internal/store/fixture_test.go
+++ b/internal/store/fixture_test.go
@@ -139,7 +139,8 @@
 		slots:               scheduler.NewSlots(50),
 		retryQueue:          scheduler.NewRetryQueue(),
 		pacer:               scheduler.NewPacer(time.Millisecond),
-		held:                newHeldItems(),
+		held:                newRouteCounts[holdReason](),
+		abandoned:           newRouteCounts[abandonReason](),
 		log:                 zap.NewNop(),
 	}
 	return f
--- a/internal/store/job_review.go
+++ b/internal/store/job_review.go
@@ -35,7 +35,8 @@
 		age := clock - j.Pending.SubmittedAt
 		j.Urgency = r.urgencyOf(route, j, age)
 		if route.Retention > 0 && age >= route.Retention+retentionMargin {
-			r.abandonWaiting(ctx, j)
+			why := abandonment{reason: abandonedByAge, configuration: current, route: route}
+			r.abandon(ctx, why, r.schedule.TakeWaiting(j)...)
 		}
 	}
 }
@@ -62,13 +63,6 @@
 	return tokens
 }
 
-// abandonWaiting abandons the items of a job that are not running. The caller holds the mutex.
-func (r *runner) abandonWaiting(ctx context.Context, j *scheduler.Job) {
-	for _, item := range r.schedule.TakeWaiting(j) {
-		r.abandonItem(ctx, item)
-	}
-}
-
 // dropClosedJobs drops the closed jobs that were submitted at least the status interval ago, by the partition's clock.
 func (r *runner) dropClosedJobs(ctx context.Context, now time.Time) {
 	if !r.isDropDue(now) {
--- a/internal/store/held_items.go
+++ b/internal/store/route_counts.go
@@ -14,32 +14,34 @@
 	heldBySlots holdReason = "no_slot"
 )
 
-// heldKey identifies a counter of heldItems.
-type heldKey struct {
+// routeCountKey identifies a counter of routeCounts.
+type routeCountKey[R ~string] struct {
 	route  string
-	reason holdReason
+	reason R
 }
 
-// heldItems counts how often an item that was next was not sent, by route and reason. It is safe for concurrent use.
-type heldItems struct {
+// routeCounts counts what happens to items, by route and reason. It is safe for concurrent use.
+type routeCounts[R ~string] struct {
 	mutex  sync.Mutex
-	counts map[heldKey]uint64
+	counts map[routeCountKey[R]]uint64
 }
 
-func newHeldItems() *heldItems { return &heldItems{counts: map[heldKey]uint64{}} }
+func newRouteCounts[R ~string]() *routeCounts[R] {
+	return &routeCounts[R]{counts: map[routeCountKey[R]]uint64{}}
+}
 
-func (h *heldItems) record(route string, reason holdReason) {
-	h.mutex.Lock()
-	defer h.mutex.Unlock()
-	h.counts[heldKey{route: route, reason: reason}]++
+func (c *routeCounts[R]) add(route string, reason R, count int) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.counts[routeCountKey[R]{route: route, reason: reason}] += uint64(count)
 }
 
 // byRoute returns the counts by route and reason.
-func (h *heldItems) byRoute() map[string]map[string]uint64 {
-	h.mutex.Lock()
-	defer h.mutex.Unlock()
+func (c *routeCounts[R]) byRoute() map[string]map[string]uint64 {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
 	routes := map[string]map[string]uint64{}
-	for key, count := range h.counts {
+	for key, count := range c.counts {
 		if routes[key.route] == nil {
 			routes[key.route] = map[string]uint64{}
 		}
--- a/internal/store/route_model_test.go
+++ b/internal/store/route_model_test.go
@@ -136,7 +136,7 @@
 		admission: m, sender: m, configuration: m.configuration,
 		sendConfirmationAge: time.Second, stepDownAfter: 3 * time.Second, statusInterval: time.Hour, checkpointInterval: time.Hour,
 		slots: scheduler.NewSlots(50), retryQueue: scheduler.NewRetryQueue(), pacer: scheduler.NewPacer(time.Millisecond),
-		held: newHeldItems(), log: zap.NewNop(),
+		held: newRouteCounts[holdReason](), abandoned: newRouteCounts[abandonReason](), log: zap.NewNop(),
 	}
 	m.change([]modelRoute{{Name: "jobs", Prefix: "/jobs/", Service: "writers", Batch: true}})
 	m.hear()
--- a/internal/store/runner_config.go
+++ b/internal/store/runner_config.go
@@ -49,7 +49,8 @@
 	slots      *scheduler.Slots
 	retryQueue *scheduler.RetryQueue
 	pacer      *scheduler.Pacer
-	held       *heldItems
+	held       *routeCounts[holdReason]
+	abandoned  *routeCounts[abandonReason]
 	log        *zap.Logger
 }
 
@@ -67,7 +68,8 @@
 		slots:               scheduler.NewSlots(maxRunningItemsFor(o.MemoryMB)),
 		retryQueue:          scheduler.NewRetryQueue(),
 		pacer:               scheduler.NewPacer(streamReadInterval),
-		held:                newHeldItems(),
+		held:                newRouteCounts[holdReason](),
+		abandoned:           newRouteCounts[abandonReason](),
 		log:                 o.Log,
 	}
 }
--- a/internal/store/runner_jobs.go
+++ b/internal/store/runner_jobs.go
@@ -79,8 +79,3 @@
 	r.appender.add(ctx, result)
 	r.schedule.Complete(item)
 }
-
-// abandonItem completes an item as abandoned, without a text. The caller holds the mutex.
-func (r *runner) abandonItem(ctx context.Context, item *scheduler.Item) {
-	r.completeItem(ctx, item, batch.Result{State: batch.Abandoned})
-}
--- a/internal/store/stats.go
+++ b/internal/store/stats.go
@@ -28,6 +28,8 @@
 	Routes map[string]RouteStats
 	// Held counts how often an item that was next was not sent, by the name of its route and the reason.
 	Held map[string]map[string]uint64
+	// Abandoned counts the items that were abandoned, by the name of their route and the reason.
+	Abandoned map[string]map[string]uint64
 }
 
 // Stats returns the store's current metrics.
@@ -36,7 +38,14 @@
 	partitions := maps.Clone(s.partitions)
 	lagging, longest := s.monitor.longest(time.Now())
 	s.mutex.Unlock()
-	stats := Stats{Partitions: len(partitions), Lagging: lagging, LongestLag: longest, Routes: map[string]RouteStats{}, Held: s.runnerConfig.held.byRoute()}
+	stats := Stats{
+		Partitions: len(partitions),
+		Lagging:    lagging,
+		LongestLag: longest,
+		Routes:     map[string]RouteStats{},
+		Held:       s.runnerConfig.held.byRoute(),
+		Abandoned:  s.runnerConfig.abandoned.byRoute(),
+	}
 	for _, hosted := range partitions {
 		if hosted.node.DiskRefusesWrites() {
 			stats.Refusing++
