Forward: a connection carries each attempt id once

By the same cause a request may be answered 503, which promises that it never runs, while it runs.

Cause: a response was matched with its request by the attempt id alone, and all runs of an item, and all tries of a live request within one exchange, carry the same id. A backend's second response to a run that is late arrives while its connection bears the next run with that id, and was taken for the response to that one. minIdle guards against it by time alone.

Change: a connection remembers, as hashes, which attempt ids it has carried, and is passed over for a request with one of them. So a response with the id of the last request is the response to that request, however late others are.

Tests that sent the same id twice on one connection to see it reused send different ids now; what they check is unchanged.

--- a/internal/forward/client.go
+++ b/internal/forward/client.go
@@ -77,7 +77,7 @@
 	if backend == nil {
 		return nil, &Failure{Backend: b.ID, Outcome: NotSent, Err: errNotListed}
 	}
-	conn, err := c.acquire(ctx, backend, r.Deadline)
+	conn, err := c.acquire(ctx, backend, r)
 	if err != nil {
 		return nil, &Failure{Backend: b.ID, Outcome: NotSent, Err: err, Cancelled: ctx.Err() != nil}
 	}
@@ -96,15 +96,16 @@
 	return rt.receive(r)
 }
 
-// acquire takes an idle connection that the backend should still keep open, or dials one within the connect timeout and the
-// deadline.
-func (c *Client) acquire(ctx context.Context, backend *upstream.Backend, deadline time.Time) (*upstream.Conn, error) {
+// acquire takes an idle connection that the backend should still keep open and that has not carried the request's attempt id, or
+// dials one within the connect timeout and the deadline.
+func (c *Client) acquire(ctx context.Context, backend *upstream.Backend, r *Request) (*upstream.Conn, error) {
 	dialDeadline := time.Now().Add(c.connectTimeout)
-	if dialDeadline.After(deadline) {
-		dialDeadline = deadline
+	if dialDeadline.After(r.Deadline) {
+		dialDeadline = r.Deadline
 	}
+	isNew := func(conn *upstream.Conn) bool { return !attemptsOf(conn).contains(r.AttemptID) }
 	for {
-		conn, err := c.pool.Acquire(ctx, backend, dialDeadline)
+		conn, err := c.pool.AcquireAccepted(ctx, backend, dialDeadline, isNew)
 		if err != nil {
 			return nil, err
 		}
--- a/internal/forward/client_test.go
+++ b/internal/forward/client_test.go
@@ -40,8 +40,8 @@
 // closeAfter, at the end of a response of a script, makes the backend close the connection after that response.
 const closeAfter = "\x00close"
 
-// startBackend starts a backend that answers each request on a connection with the next response of the script. After the
-// last response it reads the connection until the other side closes it.
+// startBackend starts a backend that answers each request on a connection with the next response of the script, in which the
+// attempt id of the request stands in the place of testID. After the last response it reads the connection until the other side closes it.
 func startBackend(t *testing.T, script ...string) *scriptedBackend {
 	t.Helper()
 	return acceptConnections(t, func(b *scriptedBackend, conn *net.TCPConn) { b.serve(conn, script) })
@@ -83,7 +83,7 @@
 		body, _ := io.ReadAll(r.Body)
 		b.requests <- receivedRequest{r, string(body)}
 		text, last := strings.CutSuffix(text, closeAfter)
-		io.WriteString(conn, text)
+		io.WriteString(conn, strings.ReplaceAll(text, testID, r.Header.Get(HeaderAttemptID)))
 		if last {
 			return
 		}
@@ -294,8 +294,10 @@
 		t.Run(c.name, func(t *testing.T) {
 			b := startBackend(t, c.first, ok)
 			client := testClient(t, c.minIdle, b)
-			for range 2 {
-				response, failure := client.Do(t.Context(), b.Backend, testRequest())
+			for i := range 2 {
+				r := testRequest()
+				r.AttemptID = attemptID(i)
+				response, failure := client.Do(t.Context(), b.Backend, r)
 				if failure != nil {
 					if failure.Outcome != NotExecuted {
 						t.Fatal(failure)
--- a/internal/forward/connection.go
+++ b/internal/forward/connection.go
@@ -30,6 +30,8 @@
 // backendConn is a connection together with the idle timeout that its backend has stated.
 type backendConn struct {
 	*net.TCPConn
+	// attempts are those whose requests were written to the connection.
+	attempts attemptSet
 	// maxIdle is how long the connection may be idle, if limited is set.
 	maxIdle time.Duration
 	limited bool
--- a/internal/forward/doc.go
+++ b/internal/forward/doc.go
@@ -4,7 +4,8 @@
 //
 //   - A call of Do writes the request at most once.
 //   - A response is returned only if it carries the attempt id of the request. It may come before the whole body of the request
-//     was written.
+//     was written. No connection carries two requests with the same attempt id, so that a backend's second response to one of
+//     them, however late, is never taken for the response to the other.
 //   - Of a stream only whole events are returned. A response that ends without the proper end of its body is an error, never
 //     a short response.
 //   - The Outcome of a Failure states what is known: whether the request was sent, and whether it ran. This determines what
@@ -20,7 +21,7 @@
 //
 //   - client.go: the client, and an attempt at a backend
 //   - request.go, headers.go, encode.go: a request, and how it is written
-//   - connection.go: connections, and how long their backends keep them open
+//   - connection.go, attempt_set.go: connections, how long their backends keep them open, and which attempts they have carried
 //   - requestwrite.go: writing a request while its response may already come
 //   - roundtrip.go: a request and the head of its response on one connection
 //   - response.go, serverload.go: a response, and the load that its backend reports
--- a/internal/forward/early_response_test.go
+++ b/internal/forward/early_response_test.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"runtime"
+	"strings"
 	"testing"
 	"time"
 )
@@ -122,6 +123,8 @@
 func TestBodyIsCompletedAfterAnEarlyResponse(t *testing.T) {
 	readOn := make(chan struct{})
 	bodyRead := make(chan error, 1)
+	second := testRequest()
+	second.AttemptID = attemptID(1)
 	b := startEarlyBackend(t, func(r *earlyRequest) {
 		r.respond(completeResponse("200 OK", "", "early"))
 		<-readOn
@@ -131,7 +134,7 @@
 		}
 		bodyRead <- err
 		if _, err := http.ReadRequest(r.reader); err == nil {
-			r.respond(completeResponse("200 OK", "", "second"))
+			r.respond(strings.ReplaceAll(completeResponse("200 OK", "", "second"), testID, second.AttemptID))
 		}
 	})
 	client := testClient(t, 0, b)
@@ -144,7 +147,7 @@
 		t.Errorf("body at the backend: %v", err)
 	}
 	waitForIdle(t, client, b)
-	doAndRead(t, client, b, testRequest(), "second")
+	doAndRead(t, client, b, second, "second")
 	if n := b.connections.Load(); n != 1 {
 		t.Errorf("connections: got %d, want 1", n)
 	}
--- a/internal/forward/repeated_response_test.go
+++ b/internal/forward/repeated_response_test.go
@@ -6,6 +6,8 @@
 	"net"
 	"net/http"
 	"testing"
+
+	"nickelline/internal/discovery"
 )
 
 // startRepeatingBackend starts a backend that responds to its first request with first, and to all others with proper. If a request
@@ -98,3 +100,24 @@
 		}
 	}
 }
+
+// TestConnectionIsClosedAfterItsLastRequest guards against a connection that carries more requests than it remembers.
+func TestConnectionIsClosedAfterItsLastRequest(t *testing.T) {
+	b := newUnreliableBackend(t, 0)
+	b.random = nil
+	client := testClient(t, 0)
+	client.SetBackends(discovery.NewList([]discovery.Backend{b.Backend}))
+	defer client.SetBackends(discovery.NewList(nil))
+	for i := range maxRequestsPerConnection + 1 {
+		if failure := b.call(t, client, attemptID(i), testTimeout); failure != nil {
+			t.Fatal(failure)
+		}
+		want := 1
+		if i == maxRequestsPerConnection-1 {
+			want = 0
+		}
+		if got := client.pool.Open(); got != want {
+			t.Fatalf("open connections after %d requests: got %d, want %d", i+1, got, want)
+		}
+	}
+}
--- a/internal/forward/roundtrip.go
+++ b/internal/forward/roundtrip.go
@@ -49,6 +49,7 @@
 		return rt.releaseUnsent(err, true)
 	}
 	rt.history = rt.conn.RecordRequest(now)
+	attemptsOf(rt.conn).add(r.AttemptID)
 	rt.conn.SetDeadline(r.Deadline)
 	rt.stopAfterFunc = context.AfterFunc(rt.ctx, func() { rt.conn.SetDeadline(pastDeadline) })
 	headLength := buffer.Len() - len(r.Body)
@@ -149,12 +150,12 @@
 }
 
 // release gives the connection back after the whole response was read. The connection is kept only if the backend keeps it open,
-// nothing unread is buffered, and the context has not ended, because the end of the context changes the deadline of the
-// connection. A connection on which the request is still being written is given back once that has ended, so that the backend
+// nothing unread is buffered, it may carry another request, and the context has not ended, because the end of the context changes
+// the deadline of the connection. A connection on which the request is still being written is given back once that has ended, so that the backend
 // gets the whole body, and no other bytes in its place.
 func (rt *roundTrip) release(reusable bool) {
 	active := rt.stopAfterFunc()
-	keep := reusable && active && rt.conn.Reader.Buffered() == 0
+	keep := reusable && active && rt.conn.Reader.Buffered() == 0 && !attemptsOf(rt.conn).isFull()
 	switch {
 	case rt.remaining == nil:
 		rt.client.pool.Release(rt.conn, keep)
--- a/internal/forward/unreliable_test.go
+++ b/internal/forward/unreliable_test.go
@@ -14,6 +14,9 @@
 	"nickelline/internal/discovery"
 )
 
+// noFault is the greatest of the choices of an unreliableBackend; those above 6 are proper responses.
+const noFault = 11
+
 // unreliableBackend responds with the faults of real backends: no response, a reset, half a response, a second response
 // after the first or late, the response to an earlier request, a response without a length. It records the requests that it
 // was sent.
@@ -22,7 +25,7 @@
 	listener *net.TCPListener
 
 	mutex    sync.Mutex
-	random   *rand.Rand
+	random   *rand.Rand      // nil: the backend has no faults
 	received map[string]int  // number of requests by attempt id
 	refused  map[string]bool // attempt ids that it reported as not run
 }
@@ -80,7 +83,10 @@
 func (b *unreliableBackend) respond(socket *net.TCPConn, id, earlier string) bool {
 	b.mutex.Lock()
 	b.received[id]++
-	choice := b.random.IntN(12)
+	choice := noFault
+	if b.random != nil {
+		choice = b.random.IntN(noFault + 1)
+	}
 	b.refused[id] = choice == 0
 	b.mutex.Unlock()
 	own := responseTo(id)
--- a/internal/upstream/acquire.go
+++ b/internal/upstream/acquire.go
@@ -19,10 +19,16 @@
 // connection becomes idle for other requests, because the backend has already borne the cost of it. The caller must give
 // the connection back with Release. Errors other than ErrTooManyConnections and ErrClosed are those of ctx and of dialing.
 func (p *Pool[K]) Acquire(ctx context.Context, b *Backend, deadline time.Time) (*Conn, error) {
+	return p.AcquireAccepted(ctx, b, deadline, func(*Conn) bool { return true })
+}
+
+// AcquireAccepted is Acquire, but passes over idle connections that accepts rejects. They stay open. accepts is called with the
+// pool locked.
+func (p *Pool[K]) AcquireAccepted(ctx context.Context, b *Backend, deadline time.Time, accepts func(*Conn) bool) (*Conn, error) {
 	if err := ctx.Err(); err != nil {
 		return nil, err
 	}
-	c, err := p.takeIdleOrReserve(b)
+	c, err := p.takeIdleOrReserve(b, accepts)
 	if c != nil || err != nil {
 		return c, err
 	}
@@ -31,13 +37,13 @@
 }
 
 // takeIdleOrReserve returns an idle connection. If there is none, it reserves a connection to be dialed and returns nil.
-func (p *Pool[K]) takeIdleOrReserve(b *Backend) (*Conn, error) {
+func (p *Pool[K]) takeIdleOrReserve(b *Backend, accepts func(*Conn) bool) (*Conn, error) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	if b.closed {
 		return nil, ErrClosed
 	}
-	if c := p.takeIdle(b); c != nil {
+	if c := p.takeIdle(b, accepts); c != nil {
 		return c, nil
 	}
 	if !p.reserveDial(b) {
@@ -46,12 +52,12 @@
 	return nil, nil
 }
 
-// takeIdle returns the most recently used idle connection that is usable and has been idle for Options.MinIdle, or nil if
+// takeIdle returns the most recently used idle connection that is usable, accepted and has been idle for Options.MinIdle, or nil if
 // there is none. It closes the unusable connections that it finds.
-func (p *Pool[K]) takeIdle(b *Backend) *Conn {
+func (p *Pool[K]) takeIdle(b *Backend, accepts func(*Conn) bool) *Conn {
 	for i := len(b.idle) - 1; i >= 0; i-- {
 		c := b.idle[i]
-		if time.Since(c.idleSince) < p.options.MinIdle {
+		if time.Since(c.idleSince) < p.options.MinIdle || !accepts(c) {
 			continue
 		}
 		b.idle = slices.Delete(b.idle, i, i+1)
