Soak: backends that fail, refuse, and answer twice

An item may be given up only after maxAttempts failures that a backend has recorded; a stream that its backend broke off and whose further run failed is one that the backend broke off.

--- a/internal/soak/doc.go
+++ b/internal/soak/doc.go
@@ -16,7 +16,7 @@
 //
 //   - soak_test.go: flags and the course of a run
 //   - tier_test.go, process_test.go: the machines, their settings, and the processes on them
-//   - backends_test.go: stand-ins that record executions
+//   - backends_test.go, repeat_test.go: stand-ins that record executions, fail, and send some responses twice
 //   - client_test.go, batch_test.go, operator_test.go: those who use the tier
 //   - faults_test.go: the seeded faults
 //   - verdict_test.go: the checks
--- a/internal/soak/record_test.go
+++ b/internal/soak/record_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"sync"
 	"time"
 )
@@ -24,6 +25,7 @@
 	at          time.Time // of its arrival
 	backend     string
 	tenant      string
+	status      int
 	interrupted bool // the backend closed the connection before the end of the response
 }
 
@@ -75,6 +77,19 @@
 	r.executions[attempt] = append(r.executions[attempt], e)
 }
 
+// failures returns how often an attempt was executed and failed.
+func (r *record) failures(attempt string) int {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	count := 0
+	for _, e := range r.executions[attempt] {
+		if e.status == http.StatusInternalServerError {
+			count++
+		}
+	}
+	return count
+}
+
 func (r *record) ended(q *request) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -16,15 +16,19 @@
 )
 
 var (
-	firstSeed = flag.Uint64("soak.seed", 1, "the first seed")
-	seeds     = flag.Uint64("soak.seeds", 1, "the number of seeds")
-	duration  = flag.Duration("soak.duration", 40*time.Second, "how long faults happen in a run")
-	proxies   = flag.Int("soak.proxies", 4, "the number of proxies")
-	controls  = flag.Int("soak.controls", 3, "the number of control processes")
-	stores    = flag.Int("soak.stores", 3, "the number of stores")
-	clients   = flag.Int("soak.clients", 24, "the number of clients")
-	keep      = flag.Bool("soak.keep", false, "keep settings, data and logs of runs without a failure")
-	raceBuild = flag.Bool("soak.race", false, "build the processes with the race detector")
+	firstSeed    = flag.Uint64("soak.seed", 1, "the first seed")
+	seeds        = flag.Uint64("soak.seeds", 1, "the number of seeds")
+	duration     = flag.Duration("soak.duration", 40*time.Second, "how long faults happen in a run")
+	proxies      = flag.Int("soak.proxies", 4, "the number of proxies")
+	controls     = flag.Int("soak.controls", 3, "the number of control processes")
+	stores       = flag.Int("soak.stores", 3, "the number of stores")
+	clients      = flag.Int("soak.clients", 24, "the number of clients")
+	engines      = flag.Int("soak.engines", 4, "the number of backends that run streams and items")
+	failedOneIn  = flag.Int("soak.failed", 8, "one in how many requests is executed by a backend and answered with a failure")
+	jobPause     = flag.Duration("soak.jobs", 300*time.Millisecond, "mean time between two batch jobs")
+	keep         = flag.Bool("soak.keep", false, "keep settings, data and logs of runs without a failure")
+	builtProgram = flag.String("soak.program", "", "a program of the tier to run instead of the one that is built from this module")
+	raceBuild    = flag.Bool("soak.race", false, "build the processes with the race detector")
 )
 
 const (
@@ -67,6 +71,9 @@
 // buildProgram builds the program of the tier and returns its path.
 func buildProgram(t *testing.T) string {
 	t.Helper()
+	if *builtProgram != "" {
+		return *builtProgram
+	}
 	path := filepath.Join(t.TempDir(), "nickelline")
 	arguments := []string{"build", "-o", path}
 	if *raceBuild {
