Store: a clock reading is committed only in the term in which it was taken

Cause: a submission, an end and the removal of closed jobs were proposed with chain.Node.Propose, which waits up to 3 s for a head and forwards the command to it, with a reading of the sender's clock from before. Committed after readings of the new head, it made the clock count from there once the sender was head again, so that what the new head had measured was counted twice: up to 3 s for each such command, where retentionMargin is 1 s.

Change: all commands of a store are proposed in the term in which their reading was taken, and are refused once it is over; the caller is sent to the new head. Terms of different heads do not overlap in the log, and a head has received all former readings before its term begins, so no span is measured by two readings that count.

--- a/internal/batch/clock.go
+++ b/internal/batch/clock.go
@@ -3,7 +3,8 @@
 import "time"
 
 // clock is the time of a partition: the sum of the times that successive heads measured with their own monotonic clocks. Time
-// that no head measured is not counted, so the clock is never faster than real time, and the age of a job is a lower bound.
+// that no head measured is not counted, so the clock is never faster than real time, and the age of a job is a lower bound. That
+// requires that a head takes its readings, and commits them, while no other head does.
 type clock struct {
 	now  time.Duration
 	last ClockReading
--- a/internal/batch/doc.go
+++ b/internal/batch/doc.go
@@ -18,6 +18,8 @@
 //
 // # Duties of the caller
 //
+// A clock reading has to be taken by the head in the term in which its command is committed (see clock).
+//
 // The methods of Machine are not safe for concurrent use. Commands have to be applied in the order in which they were
 // committed. Bodies and contents that a method returns are shared with the state and must not be changed.
 //
--- a/internal/store/partition.go
+++ b/internal/store/partition.go
@@ -8,23 +8,26 @@
 	"nickelline/internal/batch"
 	"nickelline/internal/batch/batchcall"
 	"nickelline/internal/fault"
+	"nickelline/internal/pause"
 	"nickelline/internal/view"
 )
 
 const (
 	// proposeTimeout bounds the time until a command is committed.
 	proposeTimeout = 3 * time.Second
+	// proposeRetryPause is the pause before a command that the chain does not take now is proposed again.
+	proposeRetryPause = 100 * time.Millisecond
 	// barrierTimeout bounds a barrier.
 	barrierTimeout = 600 * time.Millisecond
 )
 
+var errHeadElsewhere = fault.New(fault.NotReady, "this store is not the head of the partition")
+
 // replica is the interface that a partition needs of its chain node.
 type replica interface {
-	// Propose commits a command, and returns the encoded outcome. After an error of a kind other than NotReady the command may have
-	// been committed, or may still be.
-	Propose(ctx context.Context, command []byte) ([]byte, error)
-	// ProposeInTerm is Propose for a command that depends on what this replica has done as head since the term began. Once the term
-	// has ended, the error is of kind NotReady, and the command is never forwarded to another head.
+	// ProposeInTerm commits a command of a term in which this replica is the head, and returns the encoded outcome. After an error
+	// of a kind other than NotReady the command may have been committed, or may still be. Once the term has ended, the error is of
+	// kind NotReady: the command is never forwarded to another head.
 	ProposeInTerm(ctx context.Context, term uint64, command []byte) ([]byte, error)
 	// HeadTerm identifies the period during which this replica is the head without interruption, by the views that are known here.
 	// It is 0 if this replica is not the head.
@@ -64,25 +67,31 @@
 	return redirect
 }
 
-// propose commits a command with the current reading of this store's clock. After an error of a kind other than NotReady the command
-// may have been committed, or may still be. Success renews the confirmation if the view has not changed in the meantime and this
-// store is its head.
+// propose commits a command if this store is the head, and retries while it is and the chain takes no command. After an error of a
+// kind other than NotReady the command may have been committed, or may still be.
 func (p *partition) propose(ctx context.Context, command *batch.Command) (batch.Outcome, error) {
-	return p.proposeBy(ctx, command, p.replica.Propose)
+	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
+	defer cancel()
+	for {
+		term := p.replica.HeadTerm()
+		if term == 0 {
+			return 0, errHeadElsewhere
+		}
+		outcome, err := p.proposeInTerm(ctx, term, command)
+		if err == nil || fault.KindOf(err) != fault.NotReady || !pause.For(ctx, proposeRetryPause) {
+			return outcome, err
+		}
+	}
 }
 
-// proposeInTerm is propose for a command that depends on what this store has done as head since a term began. Once the term has
-// ended, the error is of kind NotReady, and the command is never committed.
+// proposeInTerm commits a command of a term in which this store is the head, with the current reading of this store's clock. After
+// an error of a kind other than NotReady the command may have been committed, or may still be. Once the term has ended, the error is
+// of kind NotReady, and the command is never committed. Success renews the confirmation if the view has not changed in the meantime
+// and this store is its head.
+//
+// No reading is committed in a later term than that in which it was taken: it would be from before readings of other heads that
+// have been committed, and what they have measured would be counted again from it.
 func (p *partition) proposeInTerm(ctx context.Context, term uint64, command *batch.Command) (batch.Outcome, error) {
-	return p.proposeBy(ctx, command, func(ctx context.Context, encoded []byte) ([]byte, error) {
-		return p.replica.ProposeInTerm(ctx, term, encoded)
-	})
-}
-
-// proposeBy encodes a command and commits it with the given method of the replica.
-func (p *partition) proposeBy(
-	ctx context.Context, command *batch.Command, propose func(context.Context, []byte) ([]byte, error),
-) (batch.Outcome, error) {
 	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
 	defer cancel()
 	requested := time.Now()
@@ -92,7 +101,7 @@
 		return 0, fault.Wrap(fault.NotReady, err)
 	}
 	epoch := p.replica.View().Epoch
-	result, err := propose(ctx, encoded)
+	result, err := p.replica.ProposeInTerm(ctx, term, encoded)
 	if err != nil {
 		return 0, err
 	}
--- a/internal/store/writes.go
+++ b/internal/store/writes.go
@@ -23,12 +23,15 @@
 	return nil, errQueueFull // a refusal by the local state avoids sending the job's bodies along the chain
 }
 
-// commitJob commits a submission.
+// commitJob commits a submission. An error of a kind other than NotReady becomes Unclear, because the job may have been appended to the
+// log.
 func (p *partition) commitJob(ctx context.Context, submission *batch.Submit) (*batchcall.Reply, error) {
 	outcome, err := p.propose(ctx, &batch.Command{Submit: submission})
 	switch {
+	case fault.KindOf(err) == fault.NotReady:
+		return p.redirectOrError(err)
 	case err != nil:
-		return nil, submitError(err)
+		return nil, fault.Wrap(fault.Unclear, err)
 	case outcome == batch.QuotaExceeded:
 		return nil, errQueueFull
 	case outcome != batch.Done:
@@ -37,15 +40,6 @@
 	return &batchcall.Reply{}, nil
 }
 
-// submitError converts an error of a proposal to that of a submission: any kind but NotReady becomes Unclear, because the job may
-// have been appended to the log.
-func submitError(err error) error {
-	if fault.KindOf(err) == fault.NotReady {
-		return err
-	}
-	return fault.Wrap(fault.Unclear, err)
-}
-
 // offer checks whether a job would be accepted now, and returns an error if not. It changes nothing.
 func (p *partition) offer(ctx context.Context, r *batchcall.OfferRequest) (*batchcall.Reply, error) {
 	if redirect := p.redirect(); redirect != nil {
@@ -71,7 +65,11 @@
 	if redirect := p.redirect(); redirect != nil {
 		return &batchcall.Reply{Redirect: redirect}, nil
 	}
-	if _, err := p.propose(ctx, &batch.Command{End: &r.Key}); err != nil {
+	_, err := p.propose(ctx, &batch.Command{End: &r.Key})
+	switch {
+	case fault.KindOf(err) == fault.NotReady:
+		return p.redirectOrError(err)
+	case err != nil:
 		return nil, err
 	}
 	return &batchcall.Reply{}, nil
