Store: only whole responses with a seal end an item

Cause: the status alone decided. A backend in trouble may cut an answer short or send bytes that are no answer, and live requests already take a success only with its seal.

Change: 500s and 422s count if they are whole and sealed.

--- a/internal/store/abandonment.go
+++ b/internal/store/abandonment.go
@@ -52,14 +52,15 @@
 // logAbandonment logs that items of a job are abandoned, with the facts that the decision rests on.
 func (r *runner) logAbandonment(why abandonment, job *scheduler.Job, items []*scheduler.Item) {
 	identifiers := make([]string, len(items))
-	serverErrors := make([]int, len(items))
+	serverErrors, unconfirmed := make([]int, len(items)), make([]int, len(items))
 	for i, item := range items {
 		identifiers[i] = item.Pending.Identifier
-		serverErrors[i] = item.ServerErrors()
+		serverErrors[i], unconfirmed[i] = item.ServerErrors(), item.Unconfirmed()
 	}
 	fields := []zap.Field{
 		zap.String("reason", string(why.reason)),
 		zap.String("job", job.Pending.Key.Identifier), zap.Strings("items", identifiers), zap.Ints("server_errors", serverErrors),
+		zap.Ints("unconfirmed", unconfirmed),
 		zap.Uint32("partition", r.partition.number), zap.Uint64("term", r.appender.term),
 		zap.String("route", job.Pending.Route.Name), zap.Duration("age", r.partitionTime(time.Now())-job.Pending.SubmittedAt),
 		zap.Uint64("configuration", why.configuration.Version), zap.Duration("proof_age", why.configuration.ProofAge()),
--- a/internal/store/attempt.go
+++ b/internal/store/attempt.go
@@ -112,6 +112,8 @@
 	}
 	defer response.Close()
 	switch {
+	case response.Status == http.StatusOK && response.Streaming && !isSealed(response):
+		return a.failed(&forward.Failure{Outcome: forward.MayHaveRun, Load: response.Load})
 	case response.Status == http.StatusOK && response.Streaming:
 		return a.readStream(response)
 	case response.Status == http.StatusUnprocessableEntity:
--- a/internal/store/attempt_result.go
+++ b/internal/store/attempt_result.go
@@ -62,46 +62,58 @@
 
 // rejected returns the result of a response by which the backend rejects the item for good.
 func (a *attempt) rejected(response *forward.Response) attemptResult {
-	return abandonAfterResponse(response, abandonedByRejection)
+	result, confirmed := a.resultOf(response)
+	a.item.CountRejection(confirmed)
+	if a.item.IsRejected() {
+		return result.abandon(abandonedByRejection)
+	}
+	return result
 }
 
 // serverError returns the result of an internal server error. The item is abandoned when it has had as many as the route allows.
 func (a *attempt) serverError(response *forward.Response) attemptResult {
-	a.item.CountServerError()
+	result, confirmed := a.resultOf(response)
+	a.item.CountServerError(confirmed)
 	if !a.item.MayRun(a.route.MaxAttempts) {
-		return abandonAfterResponse(response, abandonedByServerErrors)
+		return result.abandon(abandonedByServerErrors)
+	}
+	if confirmed {
+		result.serverErrors = a.item.ServerErrors()
 	}
-	result := a.retryAfterResponse(response)
-	result.serverErrors = a.item.ServerErrors()
-	return result
-}
-
-// abandonAfterResponse returns the result of a response after which the item is abandoned.
-func abandonAfterResponse(response *forward.Response, reason abandonReason) attemptResult {
-	result := resultForResponse(response, stepAbandon)
-	result.reason = reason
 	return result
 }
 
 // retryAfterResponse returns the result of a response that is not an event stream, and after which the item is tried again.
 func (a *attempt) retryAfterResponse(response *forward.Response) attemptResult {
-	backoff := a.item.Backoff(a.backend.ID)
-	result := resultForResponse(response, stepRetry)
-	result.backoff = backoff
+	result, _ := a.resultOf(response)
 	return result
 }
 
-// resultForResponse returns the result of a response whose events are not read. It reads the body unless that is a stream, so that
-// the connection can be reused.
-func resultForResponse(response *forward.Response, next nextStep) attemptResult {
-	result := attemptResult{next: next, outcome: admission.OK, load: response.Load}
+// abandon returns the result for an item that is abandoned after the response.
+func (r attemptResult) abandon(reason abandonReason) attemptResult {
+	r.next, r.reason, r.backoff = stepAbandon, reason, 0
+	return r
+}
+
+// resultOf returns the result of a response whose events are not read, for an item that is tried again. It reads the body unless that
+// is a stream, so that the connection can be reused. confirmed reports that the response is whole and carries the backend's seal:
+// any other one may not be what the backend had to say.
+func (a *attempt) resultOf(response *forward.Response) (result attemptResult, confirmed bool) {
+	result = attemptResult{next: stepRetry, outcome: admission.OK, load: response.Load, backoff: a.item.Backoff(a.backend.ID)}
+	confirmed = isSealed(response)
 	if response.Streaming {
-		return result
+		return result, false
 	}
 	if _, err := response.ReadAll(); err != nil {
 		result.outcome = admission.Failed
+		confirmed = false
 	}
-	return result
+	return result, confirmed
+}
+
+// isSealed reports whether a response carries the seal of its backend.
+func isSealed(response *forward.Response) bool {
+	return response.Header.Get(forward.HeaderResponseSeal) != ""
 }
 
 // streamEnded returns the result of a stream that ended properly. If the text has no event at all, the attempt has failed.
--- a/internal/store/fakes_test.go
+++ b/internal/store/fakes_test.go
@@ -133,6 +133,7 @@
 	b.mutex.Unlock()
 	attempt := r.Header.Get(forward.HeaderAttemptID)
 	w.Header().Set(forward.HeaderAttemptID, attempt)
+	w.Header().Set(forward.HeaderResponseSeal, "s")
 	if before != nil && before(w, r) {
 		return
 	}
--- a/internal/store/scheduler/item.go
+++ b/internal/store/scheduler/item.go
@@ -16,8 +16,11 @@
 	// AvoidBackend is the id of the backend of the last attempt if that attempt failed, and empty otherwise.
 	AvoidBackend string
 
-	serverErrors  int // attempts, also those of former heads, to which the backend responded with an internal server error
-	emptyAttempts int // consecutive attempts that produced no event
+	serverErrors            int // confirmed internal server errors, also those of former heads
+	unconfirmedServerErrors int // those of this head that are not confirmed
+	rejected                bool
+	unconfirmedRejections   int // by backends that this head has sent the item to
+	emptyAttempts           int // consecutive attempts that produced no event
 }
 
 // started reports whether earlier attempts have produced a part of the text.
--- a/internal/store/scheduler/schedule_test.go
+++ b/internal/store/scheduler/schedule_test.go
@@ -200,7 +200,7 @@
 	} {
 		item := &Item{}
 		for i, want := range test.want {
-			item.CountServerError()
+			item.CountServerError(true)
 			if got := item.MayRun(test.maxAttempts); got != want {
 				t.Errorf("%d attempts allowed, server error %d, may retry: got %v, want %v", test.maxAttempts, i+1, got, want)
 			}
