Store: an item is given up by the terms under which its job was accepted

Change: a job is stored with the terms of its route at its acceptance. It is given up by these, or by today's if they grant more. Jobs of former versions have no terms and are given up by today's route, as before. The stored and sent forms have two more fields, which are 0 in what former versions wrote.

--- a/internal/batch/batch.go
+++ b/internal/batch/batch.go
@@ -32,10 +32,19 @@
 	Prefix string
 }
 
+// Terms are what the route of a job granted its items when the job was accepted. The zero value grants nothing.
+type Terms struct {
+	// Retention is the age of the job before which no item is abandoned because of its age.
+	Retention time.Duration
+	// MaxAttempts is the number of failures before which no item is abandoned because it failed.
+	MaxAttempts int
+}
+
 // Job is a sequence of items that are submitted together.
 type Job struct {
 	Key   Key
 	Route RouteRef
+	Terms Terms
 	Items []Item
 }
 
--- a/internal/batch/batchcall/golden_test.go
+++ b/internal/batch/batchcall/golden_test.go
@@ -33,7 +33,7 @@
 			name: "submit", file: "submit.hex", kind: peer.BatchKinds, decode: decoder(DecodeSubmitRequest),
 			want: &SubmitRequest{
 				Partition: 0x11121314, MaxQueuedTokens: 0x2122232425262728,
-				Job: batch.Job{Key: goldenKey, Route: batch.RouteRef{Name: "route", Host: "host.example", Prefix: "/prefix/"}, Items: []batch.Item{{
+				Job: batch.Job{Key: goldenKey, Route: batch.RouteRef{Name: "route", Host: "host.example", Prefix: "/prefix/"}, Terms: batch.Terms{Retention: 40 * time.Second, MaxAttempts: 3}, Items: []batch.Item{{
 					Identifier: "item", Path: "/path", Body: []byte("body"), Tokens: 0x3132333435363738,
 					Headers: []batch.Header{{Name: "Name", Value: "value"}},
 				}}},
--- a/internal/batch/batchwire/batchwire.capnp
+++ b/internal/batch/batchwire/batchwire.capnp
@@ -31,6 +31,8 @@
   host @2 :Text;
   items @3 :List(Item);
   prefix @4 :Text;
+  retention @5 :Int64;
+  maxAttempts @6 :UInt32;
 }
 
 enum State {
@@ -106,4 +108,6 @@
   items @7 :List(ItemState);
   positions @8 :List(UInt32);
   prefix @9 :Text;
+  retention @10 :Int64;
+  maxAttempts @11 :UInt32;
 }
--- a/internal/batch/golden_test.go
+++ b/internal/batch/golden_test.go
@@ -25,6 +25,8 @@
 	return Key{Tenant: "tenant " + digit, Identifier: "job " + digit}
 }
 
+var goldenTerms = Terms{Retention: 0x6162636465666768, MaxAttempts: 0x71727374}
+
 func goldenRoute(number int) RouteRef {
 	digit := string(rune('0' + number))
 	return RouteRef{Name: "route " + digit, Host: "host-" + digit + ".example", Prefix: "/prefix/" + digit + "/"}
@@ -40,7 +42,7 @@
 	}{
 		{name: "tick", file: "command-tick.hex", want: Command{Clock: clock}},
 		{name: "take", file: "command-take.hex", want: Command{Clock: clock, Submit: &Submit{
-			Job:             Job{Key: goldenKey(1), Route: goldenRoute(1), Items: []Item{goldenItem(1), goldenItem(2)}},
+			Job:             Job{Key: goldenKey(1), Route: goldenRoute(1), Terms: goldenTerms, Items: []Item{goldenItem(1), goldenItem(2)}},
 			MaxQueuedTokens: 0x3132333435363738,
 		}}},
 		{name: "append", file: "command-append.hex", want: Command{Clock: clock, Append: []Result{
--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -6,6 +6,7 @@
 type job struct {
 	key         Key
 	route       RouteRef
+	terms       Terms
 	ordinal     uint64 // jobs are numbered in the order in which they were added
 	submittedAt time.Duration
 	submitted   bool // false if only its end has been committed
@@ -34,6 +35,7 @@
 func (j *job) fill(submitted *Job) {
 	j.submitted = true
 	j.route = submitted.Route
+	j.terms = submitted.Terms
 	j.items = make([]item, len(submitted.Items))
 	for i := range submitted.Items {
 		j.items[i].Item = submitted.Items[i]
--- a/internal/batch/job_codec.go
+++ b/internal/batch/job_codec.go
@@ -1,6 +1,8 @@
 package batch
 
 import (
+	"time"
+
 	"nickelline/internal/batch/batchwire"
 	"nickelline/internal/capnpcodec"
 )
@@ -17,6 +19,7 @@
 	if err := encodeRoute(job, j.Route); err != nil {
 		return err
 	}
+	encodeTerms(job, j.Terms)
 	items, err := job.NewItems(int32(len(j.Items)))
 	if err != nil {
 		return err
@@ -46,6 +49,17 @@
 	return message.SetPrefix(r.Prefix)
 }
 
+// termsEncoder is a message with the fields of Terms.
+type termsEncoder interface {
+	SetRetention(int64)
+	SetMaxAttempts(uint32)
+}
+
+func encodeTerms(message termsEncoder, t Terms) {
+	message.SetRetention(int64(t.Retention))
+	message.SetMaxAttempts(uint32(t.MaxAttempts))
+}
+
 // EncodeKey encodes a key into a message.
 func EncodeKey(key batchwire.Key, k Key) error {
 	if err := key.SetTenant(k.Tenant); err != nil {
@@ -93,6 +107,7 @@
 	if j.Route, err = decodeRoute(job); err != nil {
 		return j, err
 	}
+	j.Terms = decodeTerms(job)
 	items, err := job.Items()
 	j.Items, err = capnpcodec.DecodeList(items, err, interner{}.decodeItem)
 	return j, err
@@ -116,6 +131,16 @@
 	return r, err
 }
 
+// termsDecoder is a message with the fields of Terms, which are 0 in a message of a version that did not store them.
+type termsDecoder interface {
+	Retention() int64
+	MaxAttempts() uint32
+}
+
+func decodeTerms(message termsDecoder) Terms {
+	return Terms{Retention: time.Duration(message.Retention()), MaxAttempts: int(message.MaxAttempts())}
+}
+
 // DecodeKey decodes a key from a message.
 func DecodeKey(key batchwire.Key) (k Key, err error) {
 	if k.Tenant, err = key.Tenant(); err != nil {
--- a/internal/batch/read.go
+++ b/internal/batch/read.go
@@ -68,6 +68,7 @@
 type PendingJob struct {
 	Key         Key
 	Route       RouteRef
+	Terms       Terms
 	SubmittedAt time.Duration // by the partition's clock, see Now
 	Items       []PendingItem
 }
@@ -91,7 +92,7 @@
 	if found == nil || !found.submitted || found.closed() {
 		return PendingJob{}, false
 	}
-	pending := PendingJob{Key: found.key, Route: found.route, SubmittedAt: found.submittedAt}
+	pending := PendingJob{Key: found.key, Route: found.route, Terms: found.terms, SubmittedAt: found.submittedAt}
 	for i := range found.items {
 		waiting := &found.items[i]
 		if waiting.state != Waiting {
--- a/internal/batch/snapshot_decoding.go
+++ b/internal/batch/snapshot_decoding.go
@@ -75,6 +75,7 @@
 	if j.route, err = decodeRoute(root); err != nil {
 		return nil, err
 	}
+	j.terms = decodeTerms(root)
 	if err := decodeItemStates(root, j); err != nil {
 		return nil, err
 	}
--- a/internal/batch/snapshot_encoding.go
+++ b/internal/batch/snapshot_encoding.go
@@ -37,6 +37,7 @@
 	mustEncode(err)
 	mustEncode(EncodeKey(key, j.key))
 	mustEncode(encodeRoute(root, j.route))
+	encodeTerms(root, j.terms)
 	root.SetOrdinal(j.ordinal)
 	root.SetSubmittedAt(int64(j.submittedAt))
 	root.SetSubmitted(j.submitted)
--- a/internal/batchapi/client.go
+++ b/internal/batchapi/client.go
@@ -65,6 +65,7 @@
 		Job: batch.Job{
 			Key:   batch.Key{Tenant: tenant, Identifier: job},
 			Route: batch.RouteRef{Name: route.Name, Host: route.Host, Prefix: route.Prefix},
+			Terms: batch.Terms{Retention: route.Retention, MaxAttempts: route.MaxAttempts},
 			Items: items,
 		},
 		MaxQueuedTokens: c.maxQueuedTokens(route),
--- a/internal/store/abandonment.go
+++ b/internal/store/abandonment.go
@@ -17,9 +17,9 @@
 const (
 	// abandonedByRoute: the configuration has no route for the items' job any more.
 	abandonedByRoute abandonReason = "route_ended"
-	// abandonedByAge: the job is older than the retention of its route.
+	// abandonedByAge: the job is older than its retention.
 	abandonedByAge abandonReason = "retention"
-	// abandonedByServerErrors: backends have responded to the item with as many internal server errors as the route allows.
+	// abandonedByServerErrors: backends have responded to the item with as many internal server errors as the job allows.
 	abandonedByServerErrors abandonReason = "server_errors"
 	// abandonedByRejection: a backend has responded that the item can never be processed.
 	abandonedByRejection abandonReason = "rejected"
@@ -66,7 +66,8 @@
 		zap.Uint64("configuration", why.configuration.Version), zap.Duration("proof_age", why.configuration.ProofAge()),
 	}
 	if why.route != nil {
-		fields = append(fields, zap.Duration("retention", why.route.Retention), zap.Int("max_attempts", why.route.MaxAttempts))
+		fields = append(fields, zap.Duration("retention", retentionOf(why.route, &job.Pending)),
+			zap.Int("max_attempts", maxAttemptsOf(why.route, &job.Pending)))
 	}
 	if why.backend != "" {
 		fields = append(fields, zap.String("backend", why.backend))
--- a/internal/store/attempt_result.go
+++ b/internal/store/attempt_result.go
@@ -70,11 +70,11 @@
 	return result
 }
 
-// serverError returns the result of an internal server error. The item is abandoned when it has had as many as the route allows.
+// serverError returns the result of an internal server error. The item is abandoned when it has had as many as its job allows.
 func (a *attempt) serverError(response *forward.Response) attemptResult {
 	result, confirmed := a.resultOf(response)
 	a.item.CountServerError(confirmed)
-	if !a.item.MayRun(a.route.MaxAttempts) {
+	if !a.item.MayRun(maxAttemptsOf(a.route, &a.item.Job.Pending)) {
 		return result.abandon(abandonedByServerErrors)
 	}
 	if confirmed {
--- a/internal/store/dispatch.go
+++ b/internal/store/dispatch.go
@@ -64,7 +64,7 @@
 	}
 	route := routeOf(current.Snapshot, &item.Job.Pending)
 	switch {
-	case route != nil && !item.MayRun(route.MaxAttempts):
+	case route != nil && !item.MayRun(maxAttemptsOf(route, &item.Job.Pending)):
 		r.abandon(ctx, abandonment{reason: abandonedByServerErrors, configuration: current, route: route}, item)
 	case route != nil:
 		return r.send(ctx, current, route, item)
--- a/internal/store/job_review.go
+++ b/internal/store/job_review.go
@@ -18,7 +18,7 @@
 	retentionMargin = time.Second
 )
 
-// reviewJobs updates the urgency of all jobs, and abandons waiting items of jobs that are older than their route's retention.
+// reviewJobs updates the urgency of all jobs, and abandons waiting items of jobs that are older than their retention.
 func (r *runner) reviewJobs(ctx context.Context, now time.Time) {
 	current, proven := r.config.configuration()
 	if !proven {
@@ -34,7 +34,8 @@
 		}
 		age := clock - j.Pending.SubmittedAt
 		j.Urgency = r.urgencyOf(route, j, age)
-		if route.Retention > 0 && age >= route.Retention+retentionMargin {
+		retention := retentionOf(route, &j.Pending)
+		if retention > 0 && age >= retention+retentionMargin {
 			why := abandonment{reason: abandonedByAge, configuration: current, route: route}
 			r.abandon(ctx, why, r.schedule.TakeWaiting(j)...)
 		}
--- a/internal/store/job_route.go
+++ b/internal/store/job_route.go
@@ -21,6 +21,21 @@
 	return renamed
 }
 
+// retentionOf returns the age from which on waiting items of a job are abandoned, 0 for never: the retention that the job was accepted
+// with, or that of its route today if that is longer. A route that is no batch route any more says nothing.
+func retentionOf(route *configuration.Route, job *batch.PendingJob) time.Duration {
+	if route.Kind == configuration.Batch && route.Retention == 0 {
+		return 0
+	}
+	return max(route.Retention, job.Terms.Retention)
+}
+
+// maxAttemptsOf returns after how many failures an item of a job is abandoned: as many as the job was accepted with, or as its route
+// allows today if that are more.
+func maxAttemptsOf(route *configuration.Route, job *batch.PendingJob) int {
+	return max(route.MaxAttempts, job.Terms.MaxAttempts)
+}
+
 // mayPredate reports whether the configuration may be older than the one under which a job was accepted. It is not if it has been
 // proven to be the newest one since the job was accepted.
 func (r *runner) mayPredate(current *configuration.Current, job *batch.PendingJob, now time.Time) bool {
