Soak: jobs on batch routes that were just added

Half of the jobs are submitted on the batch route that was added last; a proxy may answer 404 for it for a while.

--- a/internal/soak/batch_test.go
+++ b/internal/soak/batch_test.go
@@ -23,6 +23,7 @@
 	readPause         = 400 * time.Millisecond
 	batchCallTimeout  = 2500 * time.Millisecond
 	submissionTimeout = 8 * time.Second
+	newestRouteOneIn  = 2 // jobs that are submitted on the route that was added last
 )
 
 // item is an item of a batch job.
@@ -45,6 +46,7 @@
 // job is a batch job with what its client knows of it.
 type job struct {
 	identifier string
+	route      string
 	items      []item
 	accepted   bool
 	unclear    bool           // a try had no answer that promises that nothing runs
@@ -54,19 +56,20 @@
 
 // submitter submits batch jobs and reads their results.
 type submitter struct {
-	tier    *tier
-	record  *record
-	http    http.Client
-	running sync.WaitGroup
+	tier     *tier
+	record   *record
+	operator *operator
+	http     http.Client
+	running  sync.WaitGroup
 
 	mutex  sync.Mutex
 	random *rand.Rand
 	jobs   []*job
 }
 
-func newSubmitter(tier *tier, record *record, random *rand.Rand) *submitter {
+func newSubmitter(tier *tier, record *record, operator *operator, random *rand.Rand) *submitter {
 	return &submitter{
-		tier: tier, record: record, random: random,
+		tier: tier, record: record, operator: operator, random: random,
 		http: http.Client{Timeout: batchCallTimeout, Transport: &http.Transport{DisableKeepAlives: true}},
 	}
 }
@@ -107,13 +110,16 @@
 func (s *submitter) newJob() *job {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	j := &job{identifier: fmt.Sprintf("%016x", s.random.Uint64()), results: map[int]result{}}
+	j := &job{identifier: fmt.Sprintf("%016x", s.random.Uint64()), route: routeJobs, results: map[int]result{}}
+	if s.random.IntN(newestRouteOneIn) == 0 {
+		j.route = s.operator.newestJobRoute()
+	}
 	for i := range 1 + s.random.IntN(maxItems) {
 		tokens := 1 + s.random.IntN(maxItemTokens)
 		identifier := fmt.Sprintf("%s-%d", j.identifier, i)
 		j.items = append(j.items, item{
 			Identifier: identifier,
-			Path:       fmt.Sprintf("/%s/%s/%d", routeJobs, j.identifier[:4], i),
+			Path:       fmt.Sprintf("/%s/%s/%d", j.route, j.identifier[:4], i),
 			Headers: map[string]string{
 				headerModel: "m", headerTokenUsage: fmt.Sprintf("10,%d", tokens), headerPromptPrefix: identifier[:16] + ":10",
 			},
@@ -143,13 +149,18 @@
 		panic(err) // the items have only texts and numbers
 	}
 	for began := time.Now(); time.Since(began) < submissionTimeout; {
-		status := s.call(ctx, http.MethodPost, "/"+routeJobs+"/"+j.identifier[:4], body, j.identifier, nil)
+		status := s.call(ctx, http.MethodPost, "/"+j.route+"/"+j.identifier[:4], body, j.identifier, nil)
 		switch status {
 		case http.StatusAccepted:
 			j.accepted = true
 			return true
 		case http.StatusTooManyRequests, http.StatusServiceUnavailable:
-		case http.StatusBadRequest, http.StatusUnauthorized, http.StatusForbidden, http.StatusNotFound:
+		case http.StatusNotFound:
+			if !s.operator.mayBeUnknown(j.route) {
+				s.record.violation("DENIED: batch job %s on %s was answered %d", j.identifier, j.route, status)
+				return false
+			}
+		case http.StatusBadRequest, http.StatusUnauthorized, http.StatusForbidden:
 			s.record.violation("DENIED: batch job %s was answered %d", j.identifier, status)
 			return false
 		default:
--- a/internal/soak/operator_test.go
+++ b/internal/soak/operator_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -17,6 +18,8 @@
 const (
 	callTimeout      = time.Second
 	maxIdleRoutes    = 3
+	maxJobRoutes     = 12
+	jobRouteOneIn    = 4           // changes that add a route of batch jobs
 	changePause      = time.Second // mean time between two changes
 	keyRotatedOneIn  = 3           // changes that take a key away
 	retentionS       = 600
@@ -40,11 +43,14 @@
 
 	version    int   // of the latest order
 	idleRoutes []int // versions that have added an idle route, the latest last
+	jobRoutes  []int // versions that have added a route of batch jobs, which stays
 	timeoutMs  int
 
 	mutex        sync.Mutex
 	key          int // number of the rotating key in the latest order
 	acknowledged []acknowledgement
+	newestRoute  string    // of batch jobs, by the latest acknowledged version; empty before the first was added
+	newestAt     time.Time // when it was acknowledged
 }
 
 func newOperator(tier *tier, record *record, random *rand.Rand) *operator {
@@ -88,6 +94,9 @@
 	if o.random.IntN(keyRotatedOneIn) == 0 {
 		o.rotateKey()
 	}
+	if former > 0 && len(o.jobRoutes) < maxJobRoutes && o.random.IntN(jobRouteOneIn) == 0 {
+		o.jobRoutes = append(o.jobRoutes, o.version)
+	}
 	o.idleRoutes = append(o.idleRoutes, o.version)
 	o.idleRoutes = o.idleRoutes[max(0, len(o.idleRoutes)-maxIdleRoutes):]
 	body, err := json.Marshal(o.configuration())
@@ -113,7 +122,28 @@
 func (o *operator) acknowledge() {
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
-	o.acknowledged = append(o.acknowledged, acknowledgement{version: o.version, key: o.key, at: time.Now()})
+	now := time.Now()
+	o.acknowledged = append(o.acknowledged, acknowledgement{version: o.version, key: o.key, at: now})
+	if len(o.jobRoutes) > 0 && o.jobRoutes[len(o.jobRoutes)-1] == o.version {
+		o.newestRoute, o.newestAt = jobRouteName(o.version), now
+	}
+}
+
+// jobRouteName returns the name of a route of batch jobs that a version has added.
+func jobRouteName(version int) string { return fmt.Sprintf("%s-%d", routeJobs, version) }
+
+// newestJobRoute returns the newest acknowledged route of batch jobs, or the first one if none was added.
+func (o *operator) newestJobRoute() string {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	return cmp.Or(o.newestRoute, routeJobs)
+}
+
+// mayBeUnknown reports whether a proxy may not have heard yet of a route of batch jobs.
+func (o *operator) mayBeUnknown(route string) bool {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	return route != routeJobs && time.Since(o.newestAt) < configApply+recovery
 }
 
 // rotateKey gives the rotating tenant another key and takes the former one away.
@@ -249,6 +279,9 @@
 		route(routeChat, "streaming", serviceEngine, engine),
 		route(routeJobs, "batch_processing", serviceEngine, job),
 	}
+	for _, version := range o.jobRoutes {
+		routes = append(routes, route(jobRouteName(version), "batch_processing", serviceEngine, job))
+	}
 	for _, version := range o.idleRoutes {
 		routes = append(routes, route(fmt.Sprintf("idle-%d", version), "idempotent", serviceCards, nil))
 	}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -118,7 +118,7 @@
 		c := newClient(tier, record, operator, newRandom(seed, fmt.Sprintf("client %d", i)), i)
 		users.Go(func() { c.run(ctx) })
 	}
-	submitter := newSubmitter(tier, record, newRandom(seed, "batch"))
+	submitter := newSubmitter(tier, record, operator, newRandom(seed, "batch"))
 	submitting, stopSubmitting := context.WithCancel(ctx)
 	defer stopSubmitting()
 	users.Go(func() { submitter.run(ctx, submitting) })
