Proxy: a result in an unknown state is not read as abandoned

TestResultInAnUnknownStateIsNoAnswer; on the former code the error is nil. The call is answered 503.

--- a/internal/proxy/batch.go
+++ b/internal/proxy/batch.go
@@ -62,9 +62,9 @@
 func encodeResults(page batch.Page) ([]byte, error) {
 	response := resultsResponse{Total: page.Total, NextToken: page.Next, Results: make([]resultEntry, 0, len(page.Results))}
 	for _, listed := range page.Results {
-		state := stateAbandoned
-		if listed.State == batch.Completed {
-			state = stateCompleted
+		state, err := stateName(listed.State)
+		if err != nil {
+			return nil, err
 		}
 		response.Results = append(response.Results, resultEntry{
 			Identifier: listed.Identifier,
@@ -75,6 +75,19 @@
 	return json.Marshal(response)
 }
 
+// stateName returns the state of a listed result as clients read it. A state that this program does not know, as a newer store may
+// send, is an error: a client must not take it for another one.
+func stateName(state batch.State) (string, error) {
+	switch state {
+	case batch.Completed:
+		return stateCompleted, nil
+	case batch.Abandoned:
+		return stateAbandoned, nil
+	default:
+		return "", fault.New(fault.NotReady, "a store lists a result in state %d", state)
+	}
+}
+
 // isBatchRequest reports whether a path belongs to the batch API for jobs that have been submitted.
 func isBatchRequest(path string) bool {
 	return strings.HasPrefix(path, jobPrefix) || strings.HasPrefix(path, itemPrefix)
--- a/internal/proxy/batch_test.go
+++ b/internal/proxy/batch_test.go
@@ -88,3 +88,14 @@
 		t.Errorf("got status %d and call %q, want 503 and no call", a.StatusCode, api.call)
 	}
 }
+
+// TestResultInAnUnknownStateIsNoAnswer guards against a result that is read as abandoned because a store lists it in a state that this
+// program does not know.
+func TestResultInAnUnknownStateIsNoAnswer(t *testing.T) {
+	for _, state := range []batch.State{batch.Waiting, batch.Abandoned + 1} {
+		_, err := encodeResults(batch.Page{Total: 1, Next: 1, Results: []batch.ListedResult{{Identifier: "e5", State: state}}})
+		if fault.KindOf(err) != fault.NotReady {
+			t.Errorf("state %d: got error %v, want one of kind NotReady", state, err)
+		}
+	}
+}
