Soak: a death by SIGTERM is allowed only before main, by the log

Each process now logs that it catches signals; the check allows a death by SIGTERM if the process has logged nothing since its start, and flags any other, also within the first 0.1 s. The reports of lost requests name the executions.

--- a/cmd/nickelline/process.go
+++ b/cmd/nickelline/process.go
@@ -32,6 +32,7 @@
 	if err != nil {
 		return nil, err
 	}
+	log.Info("process has started and catches signals")
 	debug.SetGCPercent(gcPercent)
 	debug.SetMemoryLimit(int64(memoryLimitFraction * float64(loaded.Limits.MemoryMB) * (1 << 20)))
 	runtime.GOMAXPROCS(max(1, int(math.Ceil(loaded.Limits.CPUCores))))
--- a/internal/soak/backends_test.go
+++ b/internal/soak/backends_test.go
@@ -117,7 +117,8 @@
 		defer func() {
 			if !wrapped.refused && attempt != "" {
 				record.executed(attempt, execution{
-					at: at, backend: identifier, tenant: tenant, status: wrapped.status, interrupted: wrapped.interrupted,
+					at: at, backend: identifier, tenant: tenant, status: wrapped.status,
+					spoiled: connectionOf(r).isSpoiled(), interrupted: wrapped.interrupted,
 				})
 			}
 		}()
--- a/internal/soak/process_test.go
+++ b/internal/soak/process_test.go
@@ -18,9 +18,6 @@
 	endSlack = time.Second
 	// dumpTime is how long a process may take to log its stacks.
 	dumpTime = time.Second
-	// loadTime is how long the system may take to load a program and initialize its packages. Before that the program cannot
-	// catch signals, and has begun nothing.
-	loadTime = 100 * time.Millisecond
 )
 
 // process is a process of the tier, which may be started again and again.
@@ -35,16 +32,16 @@
 	directory string
 	settings  string // for all starts but the first
 
-	mutex     sync.Mutex
-	command   *exec.Cmd
-	ended     chan struct{} // closed when the current process has ended
-	expected  bool          // the current process has been told to end
-	killed    bool          // by SIGKILL
-	frozen    bool
-	starts    int
-	startedAt time.Time
-	toldAt    time.Time // when the current process was first told to end
-	abrupt    time.Time // the latest time at which the process was killed or so ended, was frozen or thawed
+	mutex    sync.Mutex
+	command  *exec.Cmd
+	ended    chan struct{} // closed when the current process has ended
+	expected bool          // the current process has been told to end
+	killed   bool          // by SIGKILL
+	frozen   bool
+	starts   int
+	logStart int64     // length of the log when the current process was started
+	toldAt   time.Time // when the current process was first told to end
+	abrupt   time.Time // the latest time at which the process was killed or so ended, was frozen or thawed
 }
 
 func (p *process) writeSettings(text string) {
@@ -55,6 +52,18 @@
 
 func (p *process) settingsPath() string { return filepath.Join(p.directory, p.name+".toml") }
 
+func (p *process) logPath() string { return filepath.Join(p.directory, p.name+".log") }
+
+// logLength returns the length of the process's log.
+func (p *process) logLength() int64 {
+	info, err := os.Stat(p.logPath())
+	if err != nil {
+		p.t.Error(err)
+		return 0
+	}
+	return info.Size()
+}
+
 // start starts the process. The first start is the initial start of the deployment.
 func (p *process) start() {
 	p.mutex.Lock()
@@ -63,13 +72,14 @@
 		p.writeSettings(p.settings)
 	}
 	p.starts++
-	log, err := os.OpenFile(filepath.Join(p.directory, p.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	log, err := os.OpenFile(p.logPath(), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		p.t.Error(err)
 		return
 	}
 	defer log.Close()
 	fmt.Fprintf(log, "--- start %d at %s\n", p.starts, time.Now().Format(time.RFC3339Nano))
+	p.logStart = p.logLength()
 	p.command = exec.Command(p.program, p.role)
 	p.command.Env = append(os.Environ(), "NICKELLINE_BOOT="+p.settingsPath())
 	p.command.Stdout, p.command.Stderr = log, log
@@ -79,7 +89,7 @@
 		return
 	}
 	p.expected, p.killed, p.frozen = false, false, false
-	p.startedAt, p.toldAt = time.Now(), time.Time{}
+	p.toldAt = time.Time{}
 	p.ended = make(chan struct{})
 	go p.reap(p.command, p.ended)
 }
@@ -98,7 +108,8 @@
 	case !p.expected:
 		p.record.misbehaved("%s ended by itself: %v", p.name, err)
 	case p.killed, err == nil:
-	case p.toldAt.Sub(p.startedAt) < loadTime && err.Error() == "signal: "+syscall.SIGTERM.String():
+	case err.Error() == "signal: "+syscall.SIGTERM.String() && p.logLength() == p.logStart:
+		// Its packages were being initialized. Before main no Go program can catch SIGTERM, and this one has begun nothing.
 	case errors.As(err, &exit):
 		p.record.misbehaved("%s ended with %v after SIGTERM", p.name, err)
 	default:
--- a/internal/soak/record_test.go
+++ b/internal/soak/record_test.go
@@ -26,6 +26,7 @@
 	backend     string
 	tenant      string
 	status      int
+	spoiled     bool // the backend sent another response a second time on the same connection, before or meanwhile
 	interrupted bool // the backend closed the connection before the end of the response
 }
 
--- a/internal/soak/repeat_test.go
+++ b/internal/soak/repeat_test.go
@@ -31,6 +31,7 @@
 	recording  bool          // the current response is to be repeated
 	response   []byte        // what was written of it
 	after      time.Duration // from the end of the response to its repetition
+	spoiled    bool          // a response was repeated: the tier closes the connection, with the request that is under way on it
 }
 
 // repeatingListener accepts repeatingConns.
@@ -80,13 +81,25 @@
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	if !c.responding {
+		c.spoiled = true
 		_, _ = c.Conn.Write(response) // fails if the connection was closed
 	}
 }
 
+// isSpoiled reports whether a response was repeated on the connection.
+func (c *repeatingConn) isSpoiled() bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.spoiled
+}
+
 // connKey is the key of a request's connection in its context.
 type connKey struct{}
 
+func connectionOf(r *http.Request) *repeatingConn {
+	return r.Context().Value(connKey{}).(*repeatingConn)
+}
+
 func withConnection(ctx context.Context, conn net.Conn) context.Context {
 	return context.WithValue(ctx, connKey{}, conn)
 }
@@ -107,7 +120,7 @@
 		return false
 	}
 	if rand.IntN(repeatedOneIn) == 0 {
-		r.Context().Value(connKey{}).(*repeatingConn).record(rand.N(longestRepeatPause))
+		connectionOf(r).record(rand.N(longestRepeatPause))
 	}
 	w.Header().Set(headerAttemptID, attempt)
 	if refused {
--- a/internal/soak/verdict_test.go
+++ b/internal/soak/verdict_test.go
@@ -123,8 +123,8 @@
 	case q.timedOut:
 		v.record.violation("CONFIG: %s (%s) has no answer from %s after %v", q.attempt, q.route, q.process.name, q.endedAt.Sub(q.sentAt))
 	case q.status != 0 || len(executions) > 0:
-		v.record.violation("LOST: %s (%s), sent at %s, to %s: status %d, then %v after %v; %d executions", q.attempt, q.route,
-			q.sentAt.Format("15:04:05.000"), q.process.name, q.status, q.err, q.endedAt.Sub(q.sentAt), len(executions))
+		v.record.violation("LOST: %s (%s), sent at %s, to %s: status %d, then %v after %v; executions: %+v", q.attempt, q.route,
+			q.sentAt.Format("15:04:05.000"), q.process.name, q.status, q.err, q.endedAt.Sub(q.sentAt), executions)
 	}
 }
 
