Proxy: a failure without a seal is not passed on

A 4xx or 5xx with the request's id but without a seal was returned to the client as the backend's. A backend in trouble may send bytes that are no answer, and a client cannot tell such a failure from the tier's own: a 404 or 401 that is not the tier's would deny a proper request.

Evidence: two of the three new cases of TestAttempts fail on the former code (500 and 404 instead of 502).

Change: a response counts as a backend's only with its seal, whatever its status; without, the attempt has failed and may have run.

--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -134,14 +134,13 @@
 	return true
 }
 
-// isForwardable reports whether a response may be forwarded unchanged. A success must carry the backend's seal. The
-// statuses 408, 421, 429 and 503 promise that the request was not executed: Sender returns a Failure if the backend
-// confirmed the promise, so a response that gets here with such a status is unconfirmed.
+// isForwardable reports whether a response may be forwarded unchanged. It must carry the backend's seal: a client takes a failure
+// without one for the tier's own. The statuses 408, 421, 429 and 503 promise that the request was not executed: Sender returns a
+// Failure if the backend confirmed the promise, so a response that gets here with such a status is unconfirmed.
 func (b *backendResponse) isForwardable() bool {
 	switch b.status {
 	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
 		return false
 	}
-	success := b.status < http.StatusMultipleChoices
-	return !success || b.header.Get(forward.HeaderResponseSeal) != ""
+	return b.header.Get(forward.HeaderResponseSeal) != ""
 }
--- a/internal/proxy/exchange_test.go
+++ b/internal/proxy/exchange_test.go
@@ -32,6 +32,8 @@
 	lateReply         = replyAndClose(responseText(504, sealField, "late"))
 	unconfirmedReply  = replyAndClose(responseText(503, sealField, "not so"))
 	unsealedReply     = replyAndClose(responseText(200, "", "whose?"))
+	unsealedFailure   = replyAndClose(responseText(500, "", "failed"))
+	unsealedNotFound  = replyAndClose(responseText(404, "", "no such thing"))
 	otherRequestReply = replyAndClose(strings.ReplaceAll(responseText(200, sealField, "another's"), "ID", "other"))
 	surplusReply      = replyAndClose(strings.ReplaceAll(responseText(200, sealField, "another's"), "ID", "other") + responseText(200, sealField, "late"))
 	notFoundReply     = replyAndClose(responseText(404, sealField, "no such thing"))
@@ -64,6 +66,9 @@
 	{"an unconfirmed promise of no execution", "/once/x", []reply{unconfirmedReply, okReply("b")}, 502, "", []int{1, 0}},
 	{"an unconfirmed promise of no execution, repeatable", "/many/x", []reply{unconfirmedReply, unconfirmedReply}, 502, "", []int{1, 1}},
 	{"a success without a seal", "/once/x", []reply{unsealedReply, okReply("b")}, 502, "", []int{1, 0}},
+	{"a failure without a seal", "/once/x", []reply{unsealedFailure, okReply("b")}, 502, "", []int{1, 0}},
+	{"a failure without a seal, repeatable", "/many/x", []reply{unsealedFailure, okReply("b")}, 200, "b", []int{1, 1}},
+	{"an error of the client without a seal", "/once/x", []reply{unsealedNotFound, okReply("b")}, 502, "", []int{1, 0}},
 	{"a response to another request", "/once/x", []reply{otherRequestReply, okReply("b")}, 502, "", []int{1, 0}},
 	{"a response to another request, repeatable", "/many/x", []reply{surplusReply, okReply("b")}, 200, "b", []int{1, 1}},
 	{"no backends", "/many/x", nil, 503, "", nil},
