--- a/internal/soak/verdict_test.go
+++ b/internal/soak/verdict_test.go
@@ -140,7 +140,9 @@
 
 // reachedDeadline reports whether the tier ended the request once the time was over that the client had given it. The route's is not
 // shorter.
-func (q *request) reachedDeadline() bool { return !q.timedOut && q.endedAt.Sub(q.sentAt) >= routeTimeout }
+func (q *request) reachedDeadline() bool {
+	return !q.timedOut && q.endedAt.Sub(q.sentAt) >= routeTimeout
+}
 
 // brokenOff reports whether the last backend has interrupted its response, or has failed, or sent another request's response on the
 // same connection, after another one had interrupted its own.
