--- a/internal/forward/repeated_response_test.go
+++ b/internal/forward/repeated_response_test.go
@@ -1,13 +1,13 @@
 package forward
 
 import (
-	"bufio"
 	"io"
 	"net"
 	"net/http"
 	"testing"
 
 	"nickelline/internal/discovery"
+	"nickelline/internal/standin"
 )
 
 // startRepeatingBackend starts a backend that responds to its first request with first, and to all others with proper. If a request
@@ -17,29 +17,19 @@
 	t.Helper()
 	started := make(chan struct{}, 1)
 	return acceptConnections(t, func(_ *scriptedBackend, conn *net.TCPConn) {
-		defer conn.Close()
-		reader := bufio.NewReader(conn)
 		repeated := ""
-		for {
-			r, err := http.ReadRequest(reader)
-			if err != nil {
-				return
-			}
-			if _, err := io.Copy(io.Discard, r.Body); err != nil {
-				return
-			}
+		standin.ServeRequests(conn, func(r *http.Request) bool {
 			if id := r.Header.Get(HeaderAttemptID); id != testID {
-				io.WriteString(conn, responseTo(id))
-				continue
+				return send(conn, responseTo(id))
 			}
 			select {
 			case started <- struct{}{}:
 				repeated = first
-				io.WriteString(conn, first)
+				return send(conn, first)
 			default:
-				io.WriteString(conn, repeated+proper)
+				return send(conn, repeated+proper)
 			}
-		}
+		})
 	})
 }
 
--- a/internal/forward/unreliable_test.go
+++ b/internal/forward/unreliable_test.go
@@ -1,7 +1,6 @@
 package forward
 
 import (
-	"bufio"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -12,6 +11,7 @@
 	"time"
 
 	"nickelline/internal/discovery"
+	"nickelline/internal/standin"
 )
 
 // noFault is the greatest of the choices of an unreliableBackend; those above 6 are proper responses.
@@ -60,23 +60,13 @@
 }
 
 func (b *unreliableBackend) serve(socket *net.TCPConn) {
-	defer socket.Close()
-	reader := bufio.NewReader(socket)
 	earlier := ""
-	for {
-		r, err := http.ReadRequest(reader)
-		if err != nil {
-			return
-		}
-		if _, err := io.Copy(io.Discard, r.Body); err != nil {
-			return
-		}
+	standin.ServeRequests(socket, func(r *http.Request) bool {
 		id := r.Header.Get(HeaderAttemptID)
-		if !b.respond(socket, id, earlier) {
-			return
-		}
+		open := b.respond(socket, id, earlier)
 		earlier = id
-	}
+		return open
+	})
 }
 
 // respond responds to a request with a random fault or correctly, and reports whether the connection stays open.
--- a/internal/store/repeated_response_test.go
+++ b/internal/store/repeated_response_test.go
@@ -1,7 +1,6 @@
 package store
 
 import (
-	"bufio"
 	"fmt"
 	"io"
 	"net"
@@ -12,6 +11,7 @@
 
 	"nickelline/internal/discovery"
 	"nickelline/internal/forward"
+	"nickelline/internal/standin"
 )
 
 // repeatingBackend responds to the first run of each item with a failure, and to all others with a stream. Its second response to
@@ -45,28 +45,18 @@
 }
 
 func (b *repeatingBackend) serve(conn net.Conn) {
-	defer conn.Close()
-	reader := bufio.NewReader(conn)
 	repeated := ""
-	for {
-		r, err := http.ReadRequest(reader)
-		if err != nil {
-			return
-		}
-		if _, err := io.Copy(io.Discard, r.Body); err != nil {
-			return
-		}
+	standin.ServeRequests(conn, func(r *http.Request) bool {
 		id := r.Header.Get(forward.HeaderAttemptID)
 		response := streamResponse(id)
 		if b.runs.Add(1) == 1 {
 			b.failed.Add(1)
 			response = failureResponse(id)
 		}
-		if _, err := io.WriteString(conn, repeated+response); err != nil {
-			return
-		}
+		_, err := io.WriteString(conn, repeated+response)
 		repeated = failureResponse(id)
-	}
+		return err == nil
+	})
 }
 
 func failureResponse(id string) string {
