--- a/internal/soak/doc.go
+++ b/internal/soak/doc.go
@@ -11,6 +11,9 @@
 //
 //	go test ./internal/soak -run TestSoak -count=1 -timeout 3h -soak.seeds 50
 //	go test ./internal/soak -run TestSoak -count=1 -timeout 1h -soak.proxies 150 -soak.stores 24 -soak.controls 9
+//	go test ./internal/soak -run TestSoak -count=1 -soak.failed 3 -soak.engines 2 -soak.jobs 80ms -soak.program PATH
+//
+// The last one has more failures, fewer backends and more batch jobs, and runs a program that was built before.
 //
 // Files in reading order:
 //
