--- a/internal/store/age_test.go
+++ b/internal/store/age_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -15,8 +16,10 @@
 // sharedLog is the log of a partition with several stores, of which one is the head. It applies each command to the states of all.
 type sharedLog struct {
 	stores []*partition
-	head   int // index of the head
-	term   uint64
+
+	mutex sync.Mutex
+	head  int // index of the head
+	term  uint64
 }
 
 func newSharedLog(stores int) *sharedLog {
@@ -31,10 +34,19 @@
 
 // setHead begins a term of another head.
 func (l *sharedLog) setHead(store int) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
 	l.head = store
 	l.term++
 }
 
+// current returns the index of the head and its term.
+func (l *sharedLog) current() (head int, term uint64) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.head, l.term
+}
+
 func (l *sharedLog) apply(command []byte) (result []byte) {
 	for _, p := range l.stores {
 		result = p.state.Apply(0, command)
@@ -45,7 +57,8 @@
 // tick commits a command of the head that only advances the clock.
 func (l *sharedLog) tick(t *testing.T) {
 	t.Helper()
-	if _, err := l.stores[l.head].proposeInTerm(t.Context(), l.term, &batch.Command{}); err != nil {
+	head, term := l.current()
+	if _, err := l.stores[head].proposeInTerm(t.Context(), term, &batch.Command{}); err != nil {
 		t.Fatal(err)
 	}
 }
@@ -58,30 +71,30 @@
 	delay time.Duration
 }
 
-// Propose implements replica: as a chain does, it passes the command to the head of the time when it gets there.
-func (r *sharedReplica) Propose(_ context.Context, command []byte) ([]byte, error) {
-	time.Sleep(r.delay)
-	return r.log.apply(command), nil
-}
-
+// ProposeInTerm implements replica.
 func (r *sharedReplica) ProposeInTerm(_ context.Context, term uint64, command []byte) ([]byte, error) {
 	time.Sleep(r.delay)
-	if !r.IsHead() || term != r.log.term {
+	if term == 0 || term != r.HeadTerm() {
 		return nil, fault.New(fault.NotReady, "the term is over")
 	}
 	return r.log.apply(command), nil
 }
 
 func (r *sharedReplica) HeadTerm() uint64 {
-	if !r.IsHead() {
+	head, term := r.log.current()
+	if head != r.store {
 		return 0
 	}
-	return r.log.term
+	return term
 }
 
 func (r *sharedReplica) Barrier(context.Context) error { return nil }
-func (r *sharedReplica) IsHead() bool                  { return r.log.head == r.store }
-func (r *sharedReplica) View() view.View               { return view.View{Chain: 1, Epoch: r.log.term} }
+func (r *sharedReplica) IsHead() bool                  { return r.HeadTerm() != 0 }
+
+func (r *sharedReplica) View() view.View {
+	_, term := r.log.current()
+	return view.View{Chain: 1, Epoch: term}
+}
 
 // TestAgeIsNotOverstatedByALateCommand guards against items that are given up before their retention, because a command that a store
 // began as head, and that was committed after another one had become the head, makes the clock count the time of that one twice.
