--- a/cmd/nickelline/control.go
+++ b/cmd/nickelline/control.go
@@ -27,16 +27,15 @@
 // controlNode is a node with the control role.
 type controlNode struct {
 	*node
-	control    *control.Control
-	quotas     *quota.Service // nil in a process without a replica
-	fileSystem segment.OSFileSystem
-	diskFailed chan error // receives the first failure of the disk
+	control *control.Control
+	quotas  *quota.Service // nil in a process without a replica
+	failed  chan error     // receives the failure of a replica that cannot go on
 }
 
 // newControlNode opens the control state. Nothing is received or sent before startServices.
-func newControlNode(p *process) (*controlNode, error) {
-	n := &controlNode{diskFailed: make(chan error, 1)}
-	replica, err := controlIdentity(p.settings, n.fileSystem)
+func newControlNode(p *process, wait *diskWait) (*controlNode, error) {
+	n := &controlNode{failed: make(chan error, 1)}
+	replica, err := loadIdentity(diskFileSystem, p.settings.DataDirectory, wait)
 	if err != nil {
 		return nil, err
 	}
@@ -45,13 +44,14 @@
 	}
 	n.control, err = control.New(control.Options{
 		Settings:      p.settings,
-		FileSystem:    n.fileSystem,
+		FileSystem:    diskFileSystem,
 		Replica:       replica,
 		Transport:     n.transport,
 		Members:       n.members,
 		Configuration: topic{n.gossip, gossip.Configuration},
 		Placement:     topic{n.gossip, gossip.Placement},
-		OnFailure:     reportFirstFailure(n.diskFailed),
+		OnFailure:     reportFirstFailure(n.failed),
+		AwaitDisk:     wait.again,
 		Log:           p.log,
 	})
 	if err != nil {
@@ -64,7 +64,7 @@
 // startServices starts all services of the node. They stop when ctx ends or with shutDown.
 func (n *controlNode) startServices(ctx context.Context, caught *signals) error {
 	n.start()
-	n.serveMetrics(allocatorMetrics(n.quotas))
+	n.serveMetrics(allocatorMetrics(n.quotas), controlMetrics(n.control))
 	n.control.Start()
 	if err := n.startBackendPolling(ctx); err != nil {
 		return err
@@ -73,9 +73,9 @@
 	return nil
 }
 
-// serve returns when the process is asked to terminate, or when its disk has failed.
+// serve returns when the process is asked to terminate, or when its replica cannot go on.
 func (n *controlNode) serve(_ context.Context, caught *signals) error {
-	return n.awaitTermination(n.diskFailed, caught, n.fileSystem)
+	return n.awaitTermination(n.failed, caught)
 }
 
 // shutDown hands over to another replica, within a limited time, and closes the node.
@@ -87,13 +87,17 @@
 	n.leave()
 }
 
-// controlIdentity returns the identity of the replica on the disk, or 0 if the machine has no disk.
-func controlIdentity(s *settings.Settings, fileSystem segment.FileSystem) (view.ReplicaID, error) {
-	if s.DataDirectory == "" {
+// loadIdentity returns the identity of the replica on the disk, or 0 if the machine has no disk. While the disk fails, it waits.
+func loadIdentity(fileSystem segment.FileSystem, directory string, wait *diskWait) (view.ReplicaID, error) {
+	if directory == "" {
 		return 0, nil
 	}
-	replica, _, err := view.LoadIdentity(fileSystem, s.DataDirectory)
-	return replica, err
+	for {
+		replica, _, err := view.LoadIdentity(fileSystem, directory)
+		if !segment.IsTransient(err) || !wait.again(err) {
+			return replica, err
+		}
+	}
 }
 
 // handOverTimeout returns how long a terminating replica tries to hand over to others.
--- a/cmd/nickelline/disk.go
+++ b/cmd/nickelline/disk.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"path"
 	"time"
 
 	"go.uber.org/zap"
@@ -10,11 +9,37 @@
 )
 
 const (
-	diskCheckName   = "check"
-	diskCheckPeriod = 500 * time.Millisecond
-	diskCheckSize   = 64 << 10 // bytes; with less free space than this, a restart is not worthwhile
+	diskRetryPause  = 250 * time.Millisecond // before the disk is tried again during the start of a process
+	diskLogInterval = 30 * time.Second       // between two log messages about that
 )
 
+// diskFileSystem is the file system of all disks. Tests replace it.
+var diskFileSystem segment.FileSystem = segment.OSFileSystem{}
+
+// diskWait waits during the start of a process for a disk that fails.
+type diskWait struct {
+	log        *zap.Logger
+	caught     *signals
+	loggedAt   time.Time
+	terminated bool
+}
+
+// again waits before the disk is tried again, and reports false if the process has been asked to terminate meanwhile.
+func (w *diskWait) again(failure error) bool {
+	if time.Since(w.loggedAt) >= diskLogInterval {
+		w.loggedAt = time.Now()
+		w.log.Warn("disk failed at the start, trying again", zap.Error(failure))
+	}
+	timer := time.NewTimer(diskRetryPause)
+	defer timer.Stop()
+	select {
+	case <-w.caught.terminate:
+		w.terminated = true
+	case <-timer.C:
+	}
+	return !w.terminated
+}
+
 // reportFirstFailure returns a function that sends the first failure to a channel with a buffer of one and drops the others.
 func reportFirstFailure(failed chan<- error) func(error) {
 	return func(err error) {
@@ -25,41 +50,14 @@
 	}
 }
 
-// awaitTermination returns nil once the process is asked to terminate. If its disk fails first, it returns that failure as
-// described at awaitDiskRecovery.
-func (p *process) awaitTermination(failed <-chan error, caught *signals, fileSystem segment.FileSystem) error {
+// awaitTermination returns nil once the process is asked to terminate, or the failure of a replica that cannot go on before the next
+// start of the process.
+func (p *process) awaitTermination(failed <-chan error, caught *signals) error {
 	select {
 	case failure := <-failed:
-		return p.awaitDiskRecovery(failure, caught, fileSystem)
+		p.log.Error("a replica cannot go on, the process ends", zap.Error(failure))
+		return failure
 	case <-caught.terminate:
 		return nil
 	}
 }
-
-// awaitDiskRecovery returns failure once the disk accepts writes again or the process is asked to terminate. A replica whose
-// disk failed does nothing until the process restarts, and a restart before the disk has recovered would only fail again.
-func (p *process) awaitDiskRecovery(failure error, caught *signals, fileSystem segment.FileSystem) error {
-	p.log.Error("disk failed, waiting until it accepts writes again", zap.Error(failure))
-	ticker := time.NewTicker(diskCheckPeriod)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-caught.terminate:
-			return failure
-		case <-ticker.C:
-		}
-		if checkDisk(fileSystem, p.settings.DataDirectory) == nil {
-			return failure
-		}
-	}
-}
-
-// checkDisk checks that a file of diskCheckSize bytes can be written and removed.
-func checkDisk(fileSystem segment.FileSystem, directory string) error {
-	name := path.Join(directory, diskCheckName)
-	err := segment.SaveRecord(fileSystem, name, make([]byte, diskCheckSize))
-	if removeErr := fileSystem.Remove(name); err == nil {
-		err = removeErr
-	}
-	return err
-}
--- a/cmd/nickelline/metrics.go
+++ b/cmd/nickelline/metrics.go
@@ -9,6 +9,8 @@
 	"go.uber.org/zap"
 
 	"nickelline/internal/admission"
+	"nickelline/internal/chain"
+	"nickelline/internal/control"
 	"nickelline/internal/metrics"
 	"nickelline/internal/nodestate"
 	"nickelline/internal/peer"
@@ -177,7 +179,9 @@
 	w.Gauge("nickelline_partitions_headed", float64(stats.Heads))
 	w.Gauge("nickelline_replicas_lagging", float64(stats.Lagging))
 	w.Gauge("nickelline_replicas_lagging_seconds", stats.LongestLag.Seconds())
-	w.Gauge("nickelline_replicas_refused", float64(stats.Refusing))
+	w.Gauge("nickelline_replicas_refused", float64(stats.Failing))
+	w.Gauge("nickelline_partitions_unopened", float64(stats.Unopened))
+	writeDisk(w, stats.Disk)
 	for _, route := range slices.Sorted(maps.Keys(stats.Routes)) {
 		items, label := stats.Routes[route], metrics.Label{Name: "route", Value: route}
 		w.Gauge("nickelline_batch_items_waiting", float64(items.Waiting), label)
@@ -188,6 +192,21 @@
 	writeRouteCounts(w, "nickelline_batch_items_abandoned_total", stats.Abandoned)
 }
 
+// controlMetrics returns a source of the metrics of the disk of a control process.
+func controlMetrics(c *control.Control) metrics.Source {
+	return func(w *metrics.Writer) { writeDisk(w, c.DiskStatus()) }
+}
+
+// writeDisk writes how often the disk has failed, and for how long it has not done what is tried again and again.
+func writeDisk(w *metrics.Writer, disk chain.DiskStatus) {
+	w.Counter("nickelline_disk_failures_total", disk.Failures)
+	failing := time.Duration(0)
+	if !disk.FailingSince.IsZero() {
+		failing = time.Since(disk.FailingSince)
+	}
+	w.Gauge("nickelline_disk_failing_seconds", failing.Seconds())
+}
+
 // writeRouteCounts writes a counter that has labels for the route and the reason.
 func writeRouteCounts(w *metrics.Writer, name string, counts map[string]map[string]uint64) {
 	for _, route := range slices.Sorted(maps.Keys(counts)) {
--- a/cmd/nickelline/proxy.go
+++ b/cmd/nickelline/proxy.go
@@ -41,7 +41,7 @@
 }
 
 // newProxyNode binds all addresses. Nothing is received or sent before startServices.
-func newProxyNode(p *process) (*proxyNode, error) {
+func newProxyNode(p *process, _ *diskWait) (*proxyNode, error) {
 	clients, err := listen(p.settings.Listen.Frontend)
 	if err != nil {
 		return nil, err
--- a/cmd/nickelline/role.go
+++ b/cmd/nickelline/role.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 
-	"nickelline/internal/segment"
+	"go.uber.org/zap"
 )
 
 // roleNode is a node with one of the roles.
@@ -17,14 +17,16 @@
 }
 
 // runRole opens the node of a role, serves until the process is asked to terminate, and shuts the node down.
-func runRole[N roleNode](caught *signals, open func(*process) (N, error)) error {
+func runRole[N roleNode](caught *signals, open func(*process, *diskWait) (N, error)) error {
 	p, err := newProcess()
 	if err != nil {
 		return err
 	}
-	n, err := open(p)
-	if segment.IsRefusal(err) {
-		return p.awaitDiskRecovery(err, caught, segment.OSFileSystem{})
+	wait := &diskWait{log: p.log, caught: caught}
+	n, err := open(p, wait)
+	if wait.terminated {
+		p.log.Info("process was asked to terminate while it waited for its disk", zap.Error(err))
+		return nil
 	}
 	if err != nil {
 		return err
--- a/cmd/nickelline/status.go
+++ b/cmd/nickelline/status.go
@@ -46,6 +46,9 @@
 	for _, retirement := range s.Retirements {
 		fmt.Fprintf(table, "retirement\t%s: %s\n", retirement.Node, retirement.State)
 	}
+	for _, disk := range s.FailingDisks {
+		fmt.Fprintf(table, "failing disk\t%s: for %.1f s, %d failures, last: %s\n", disk.Node, disk.FailingSeconds, disk.Failures, disk.Error)
+	}
 	printPartitions(table, s.Placement.Partitions)
 	printMembers(table, s.Members)
 	return table.Flush()
--- a/cmd/nickelline/store.go
+++ b/cmd/nickelline/store.go
@@ -11,7 +11,6 @@
 	"nickelline/internal/forward"
 	"nickelline/internal/nodestate"
 	"nickelline/internal/placement"
-	"nickelline/internal/segment"
 	"nickelline/internal/store"
 	"nickelline/internal/view"
 )
@@ -32,19 +31,18 @@
 // storeNode is a node with the store role.
 type storeNode struct {
 	*node
-	state      *nodestate.State
-	sender     *forward.Client
-	store      *store.Service
-	replica    view.ReplicaID
-	fileSystem segment.OSFileSystem
-	diskFailed chan error // receives the first failure of the disk
+	state   *nodestate.State
+	sender  *forward.Client
+	store   *store.Service
+	replica view.ReplicaID
+	failed  chan error // receives the failure of a replica that cannot go on
 }
 
 // newStoreNode opens the store's partitions. Nothing is received or sent before startServices.
-func newStoreNode(p *process) (*storeNode, error) {
-	n := &storeNode{diskFailed: make(chan error, 1)}
+func newStoreNode(p *process, wait *diskWait) (*storeNode, error) {
+	n := &storeNode{failed: make(chan error, 1)}
 	var err error
-	if n.replica, _, err = view.LoadIdentity(n.fileSystem, p.settings.DataDirectory); err != nil {
+	if n.replica, err = loadIdentity(diskFileSystem, p.settings.DataDirectory, wait); err != nil {
 		return nil, err
 	}
 	if n.node, err = newNode(p, roleStore, p.settings.StoreInternalAddress(), uint64(n.replica)); err != nil {
@@ -71,7 +69,7 @@
 		},
 		Transport:       n.transport,
 		Dispatcher:      chain.NewDispatcher(n.transport, n.log),
-		FileSystem:      n.fileSystem,
+		FileSystem:      diskFileSystem,
 		Directory:       n.settings.DataDirectory,
 		MinimumReplicas: n.settings.FaultTolerance.Losses() + 1,
 		Bounds:          n.settings.Bounds,
@@ -81,7 +79,7 @@
 		Configuration:   provenConfiguration(n.state, maxProofAge(n.settings)),
 		ControlNodes:    n.controlNodes,
 		ReportInterval:  reportInterval,
-		OnFailure:       reportFirstFailure(n.diskFailed),
+		OnFailure:       reportFirstFailure(n.failed),
 		Log:             n.log,
 	}
 }
@@ -101,9 +99,9 @@
 	return nil
 }
 
-// serve returns when the process is asked to terminate, or when its disk has failed.
+// serve returns when the process is asked to terminate, or when a replica cannot go on.
 func (n *storeNode) serve(_ context.Context, caught *signals) error {
-	return n.awaitTermination(n.diskFailed, caught, n.fileSystem)
+	return n.awaitTermination(n.failed, caught)
 }
 
 // shutDown waits until other stores have taken over the partitions, for a limited time, and closes the node.
--- a/internal/chain/applier.go
+++ b/internal/chain/applier.go
@@ -6,14 +6,17 @@
 	"time"
 
 	"github.com/ansel1/merry/v2"
-	"go.uber.org/zap"
 
 	"nickelline/internal/segment"
 	"nickelline/internal/view"
 )
 
-// defaultSnapshotBytes is Options.SnapshotBytes if that is not set.
-const defaultSnapshotBytes = 4 << 20
+const (
+	// defaultSnapshotBytes is Options.SnapshotBytes if that is not set.
+	defaultSnapshotBytes = 4 << 20
+	// snapshotRetryPause is the pause before a snapshot that could not be saved is tried again.
+	snapshotRetryPause = time.Second
+)
 
 // applier applies committed entries to the state machine of a node, in order, and takes its snapshots.
 type applier struct {
@@ -35,6 +38,7 @@
 	queue             []applierTask
 	snapshotRequested bool
 	savingSnapshot    bool
+	snapshotFailed    bool // the last snapshot that was due has not been saved
 }
 
 // applierTask is a view that came into force, or an operation on the state machine if view is nil.
@@ -179,13 +183,14 @@
 }
 
 // compact saves a snapshot in the background once the entries that it replaces are as large as Options.SnapshotBytes and
-// as the last snapshot.
+// as the last snapshot, or if the last attempt has failed.
 func (a *applier) compact() {
 	bound := a.node.options.SnapshotBytes
 	if bound == 0 {
 		bound = defaultSnapshotBytes
 	}
-	if a.bytesSinceSnapshot < max(bound, a.snapshotBytes) || !a.beginSaving() {
+	due := a.bytesSinceSnapshot >= max(bound, a.snapshotBytes)
+	if !a.beginSaving(due) {
 		return
 	}
 	snapshot := a.snapshot()
@@ -194,25 +199,47 @@
 	a.saving.Go(func() { a.save(snapshot) })
 }
 
-// beginSaving marks that a snapshot is being saved. It reports false if one is being saved already.
-func (a *applier) beginSaving() bool {
+// beginSaving marks that a snapshot is being saved, if one is due or the last one has not been saved. It reports false if neither is
+// the case, or one is being saved already.
+func (a *applier) beginSaving(due bool) bool {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
-	if a.savingSnapshot {
+	if a.savingSnapshot || !due && !a.snapshotFailed {
 		return false
 	}
 	a.savingSnapshot = true
 	return true
 }
 
-// save writes a snapshot, while run goes on applying entries.
-func (a *applier) save(snapshot segment.Snapshot) {
-	err := a.node.disk.log.SaveSnapshot(snapshot)
+// endSaving marks that no snapshot is being saved any longer.
+func (a *applier) endSaving(failed bool) {
 	a.mutex.Lock()
+	defer a.mutex.Unlock()
 	a.savingSnapshot = false
-	a.mutex.Unlock()
-	// The log may have been reset to a received snapshot meanwhile.
-	if err != nil && !errors.Is(err, segment.ErrOutOfOrder) {
-		a.node.options.Log.Warn("snapshot not saved", zap.Error(err))
+	a.snapshotFailed = failed
+}
+
+// save writes a snapshot, while run goes on applying entries. If the disk fails, it pauses and wakes run, which tries again: without
+// snapshots the log would grow, and the disk become full.
+func (a *applier) save(snapshot segment.Snapshot) {
+	err := a.node.disk.log.SaveSnapshot(snapshot)
+	if !segment.IsTransient(err) || errors.Is(err, segment.ErrUnfinishedReset) {
+		a.node.diskHealth.succeed(snapshotTask) // or the log is closed, or was reset to a received snapshot meanwhile
+		a.endSaving(false)
+		return
+	}
+	a.node.diskHealth.fail(snapshotTask, err)
+	a.pause(snapshotRetryPause)
+	a.endSaving(true)
+	notify(a.wake)
+}
+
+// pause waits, or returns early if the applier is stopped.
+func (a *applier) pause(duration time.Duration) {
+	timer := time.NewTimer(duration)
+	defer timer.Stop()
+	select {
+	case <-a.quit:
+	case <-timer.C:
 	}
 }
--- a/internal/chain/disk_batch.go
+++ b/internal/chain/disk_batch.go
@@ -4,30 +4,31 @@
 	"errors"
 	"time"
 
-	"go.uber.org/zap"
-
 	"nickelline/internal/segment"
 )
 
-// refusalPause is the pause before operations that the disk has refused are tried again.
-const refusalPause = 100 * time.Millisecond
+// diskRetryPause is the pause before operations that have failed are tried again.
+const diskRetryPause = 100 * time.Millisecond
 
-// errWriterStopped is the error of operations that the disk refused until the writer was stopped.
+// errWriterStopped is the error of operations that failed until the writer was stopped.
 var errWriterStopped = errors.New("the disk writer was stopped")
 
-// writeUntilAccepted carries out operations, and returns once they are on disk. While the disk refuses them, it tries again.
-func (d *diskWriter) writeUntilAccepted(operations []DiskOperation) error {
+// writeUntilDone carries out operations, and returns once they are on disk. While the disk fails, it tries again.
+func (d *diskWriter) writeUntilDone(operations []DiskOperation) error {
 	b := diskBatch{remaining: operations}
 	for {
 		err := d.write(&b)
-		if err == nil && d.refuses() {
-			d.node.options.Log.Info("disk takes writes again", zap.Uint32("chain", d.node.options.Chain))
+		if err == nil {
+			d.node.diskHealth.succeed(logTask)
+			return nil
 		}
-		if err == nil || !segment.IsRefusal(err) {
+		if !segment.IsTransient(err) {
 			return err
 		}
-		d.recordRefusal(err)
-		if !d.pause(refusalPause) {
+		if d.node.diskHealth.fail(logTask, err) && d.onStall != nil {
+			d.onStall()
+		}
+		if !d.pause(diskRetryPause) {
 			return errWriterStopped
 		}
 	}
--- a/internal/chain/disk_writer.go
+++ b/internal/chain/disk_writer.go
@@ -5,15 +5,12 @@
 	"sync"
 	"time"
 
-	"go.uber.org/zap"
-
 	"nickelline/internal/segment"
 )
 
 // diskWriter carries out the disk operations of a node in order. Operations that are queued together share one sync. While the disk
-// refuses writes, as a full disk does, it tries the same operations again: the replica then counts as impaired, like one with a stalled
-// disk, takes no part in commits, and goes on once the disk takes writes again. Any other failure ends the replica: after a failed
-// sync it is unknown what is on the disk.
+// fails, in whatever way, it tries the same operations again: the replica then counts as impaired, like one with a stalled disk, takes
+// no part in commits, and goes on once the disk works again. Only errors that no attempt can end (segment.IsTransient) end the replica.
 type diskWriter struct {
 	node *Node
 	log  *segment.Log
@@ -24,8 +21,7 @@
 	mutex     sync.Mutex
 	queue     []DiskOperation
 	busySince time.Time // when the operations under way began, zero if there are none
-	refused   bool      // the disk has refused an operation under way
-	// onStall, if set, is called when operations take too long, by watchdog, or are refused.
+	// onStall, if set, is called when operations take too long, by watchdog, or fail.
 	onStall  func()
 	watchdog *time.Timer
 }
@@ -34,7 +30,7 @@
 // its members is stalled.
 const stallLimit = 600 * time.Millisecond
 
-// newDiskWriter returns a writer that calls onStall, if it is set, whenever operations take longer than stallLimit or are refused.
+// newDiskWriter returns a writer that calls onStall, if it is set, whenever operations take longer than stallLimit or fail.
 func newDiskWriter(n *Node, log *segment.Log, onStall func()) *diskWriter {
 	d := &diskWriter{
 		node: n,
@@ -99,7 +95,6 @@
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	d.busySince = time.Time{}
-	d.refused = false
 	if d.watchdog != nil {
 		d.watchdog.Stop()
 	}
@@ -112,36 +107,14 @@
 	}
 }
 
-// stalled reports whether the operations under way have taken longer than stallLimit, or the disk refuses them.
+// stalled reports whether the operations under way have taken longer than stallLimit.
 func (d *diskWriter) stalled(now time.Time) bool {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	return d.refused || !d.busySince.IsZero() && now.Sub(d.busySince) > stallLimit
-}
-
-// refuses reports whether the disk refuses the operations under way.
-func (d *diskWriter) refuses() bool {
-	d.mutex.Lock()
-	defer d.mutex.Unlock()
-	return d.refused
-}
-
-// recordRefusal records that the disk has refused an operation under way. At the first refusal it logs the error and calls onStall.
-func (d *diskWriter) recordRefusal(err error) {
-	d.mutex.Lock()
-	first := !d.refused
-	d.refused = true
-	d.mutex.Unlock()
-	if !first {
-		return
-	}
-	d.node.options.Log.Warn("disk refuses writes, trying again", zap.Uint32("chain", d.node.options.Chain), zap.Error(err))
-	if d.onStall != nil {
-		d.onStall()
-	}
+	return !d.busySince.IsZero() && now.Sub(d.busySince) > stallLimit
 }
 
-// run carries out queued operations until the writer is stopped or the disk fails.
+// run carries out queued operations until the writer is stopped or they fail for good.
 func (d *diskWriter) run() {
 	defer close(d.done)
 	for {
@@ -154,7 +127,7 @@
 		if len(operations) == 0 {
 			continue
 		}
-		if err := d.writeUntilAccepted(operations); err != nil {
+		if err := d.writeUntilDone(operations); err != nil {
 			d.markIdle()
 			if !errors.Is(err, errWriterStopped) {
 				d.node.fail(err, true)
--- a/internal/chain/doc.go
+++ b/internal/chain/doc.go
@@ -39,6 +39,10 @@
 //     view keeps a member of the previous one. As a commit needs all members of its view, nothing can be committed in the
 //     old epoch once that member has entered the new one.
 //
+// A disk that fails does not end a replica: the operations are tried again, and nothing counts as durable before they succeed. The replica
+// is impaired meanwhile (Node.Impaired), and its neighbours and the placement go on without it where they can. A vote that cannot be
+// written is not given.
+//
 // Within an epoch the log on a replica's disk always contains the log on its successor's disk. The guarantees rest on this
 // and on the order of events: an acknowledgement is sent only after DiskDone has been called for what it covers.
 //
@@ -62,7 +66,7 @@
 //   - The roles of a replica in it: head.go, head_term.go, head_proposals.go, head_barriers.go; link.go and the files
 //     downstream_*.go (sending); the files upstream_*.go and acknowledge.go (receiving).
 //   - The driver: options.go, node.go, node_views.go, status.go, notifications.go, session_status.go, record_file.go, disk_writer.go,
-//     disk_batch.go, state_machine.go, applier.go, dispatcher.go.
+//     disk_batch.go, disk_health.go, state_machine.go, applier.go, dispatcher.go.
 //   - Calls at a node: propose.go, forward.go, barrier.go, barrier_rounds.go, wait.go, retry.go.
 //   - The agreement on views: reconfigurer.go, candidates.go, plan.go, proposer_options.go, propose_view.go, voter.go,
 //     agreement_calls.go, discovery.go, neighbour_probes.go, learner.go, handover.go, confirm_majority.go, prover.go.
--- a/internal/chain/node.go
+++ b/internal/chain/node.go
@@ -32,7 +32,10 @@
 	began     time.Time
 	disk      *diskWriter
 	applier   *applier
-	closing   sync.Once
+
+	diskHealth *diskHealth
+
+	closing sync.Once
 
 	mutex          sync.Mutex
 	replica        *Replica
@@ -93,6 +96,8 @@
 		accepted:  make(map[uint64]*proposalCall),
 		barriers:  make(map[uint64]chan BarrierResult),
 		forwarded: make(map[uint64]forwardedCall),
+
+		diskHealth: newDiskHealth(options.Log, options.Chain),
 	}
 	n.replica = NewReplica(options.Chain, options.Self, options.MinimumReplicas, state)
 	n.disk = newDiskWriter(n, log, options.OnStall)
--- a/internal/chain/options.go
+++ b/internal/chain/options.go
@@ -27,11 +27,11 @@
 	// larger: then as many bytes as that. 0 means defaultSnapshotBytes. With a larger value snapshots are written less often,
 	// and recovery is slower.
 	SnapshotBytes int
-	// OnFailure, if set, is called once if the disk or the state machine fails. The replica takes no part in the protocol
-	// from then on.
+	// OnFailure, if set, is called once if the replica cannot go on: its log is damaged, or the state machine cannot restore a
+	// snapshot. The replica takes no part in the protocol from then on. A disk that fails is no reason for that.
 	OnFailure func(error)
-	// OnStall, if set, is called when disk operations have taken longer than stallLimit or are refused, once for each of
-	// these. Impaired reports the same.
+	// OnStall, if set, is called when disk operations have taken longer than stallLimit or fail, once for each of these.
+	// Impaired reports the same.
 	OnStall func()
 	// Log receives the events of the replica; nil discards them.
 	Log *zap.Logger
--- a/internal/chain/simulation_faults_test.go
+++ b/internal/chain/simulation_faults_test.go
@@ -85,6 +85,17 @@
 	s.after(duration, func() { site.diskDelay = time.Millisecond })
 }
 
+// maximumFailingOneIn is the most operations of which one fails while a disk fails.
+const maximumFailingOneIn = 12
+
+// failDisk makes operations of a site's disk fail at random.
+func (s *simulation) failDisk(site *site, duration time.Duration) {
+	oneIn := 1 + s.random.IntN(maximumFailingOneIn)
+	s.logf("one in %d operations fails on the disk of %d", oneIn, site.index)
+	site.disk.FailOneIn(oneIn)
+	s.after(duration, func() { site.disk.FailOneIn(0) })
+}
+
 func (s *simulation) leave(site *site, duration time.Duration) {
 	s.logf("leaving %d", site.index)
 	site.leaving = true
--- a/internal/chain/simulation_histories_test.go
+++ b/internal/chain/simulation_histories_test.go
@@ -5,6 +5,7 @@
 	"os"
 	"strconv"
 	"testing"
+	"time"
 )
 
 // Seeded histories: replicas of a chain run on simulated disks and a simulated network with injected faults.
@@ -31,6 +32,25 @@
 
 func TestSeededHistories(t *testing.T) { runHistories(t, newSimulation) }
 
+// TestSeededHistoriesOfFailingDisks guards against entries that are acknowledged and not on the disk, because an operation of it has
+// failed, and against replicas that end: besides the faults of the other histories, operations of the disks fail at random, with random
+// errors, done or not done, amid kills and losses of power.
+func TestSeededHistoriesOfFailingDisks(t *testing.T) {
+	runHistories(t, func(t *testing.T, seed uint64) *simulation {
+		s := newSimulation(t, seed)
+		s.planFaults = func() {
+			s.planRandomFaults()
+			for range 3 + s.random.IntN(12) {
+				at := s.network.Now() + time.Duration(s.random.Int64N(int64(s.duration)))
+				s.network.At(at, func() {
+					s.failDisk(s.sites[s.random.IntN(len(s.sites))], time.Duration(100+s.random.IntN(3000))*time.Millisecond)
+				})
+			}
+		}
+		return s
+	})
+}
+
 // runHistories runs the histories that historiesVariable and seedVariable ask for, in several goroutines.
 func runHistories(t *testing.T, begin func(t *testing.T, seed uint64) *simulation) {
 	histories := environment(t, historiesVariable, defaultHistories)
--- a/internal/chain/simulation_test.go
+++ b/internal/chain/simulation_test.go
@@ -190,6 +190,7 @@
 		s.network.Thaw(site.address)
 		site.leaving = false
 		site.diskDelay = time.Millisecond
+		site.disk.FailOneIn(0)
 		if !s.network.Up(site.address) {
 			site.start(false)
 		}
--- a/internal/chain/status.go
+++ b/internal/chain/status.go
@@ -47,8 +47,10 @@
 	return n.replica.HeadTerm()
 }
 
-// Impaired reports whether this replica has failed, or its disk is stalled or refuses writes, so that the chain should go on without it.
-func (n *Node) Impaired() bool { return n.stopped() || n.disk.stalled(time.Now()) }
+// Impaired reports whether this replica has failed, or its disk is stalled or fails, so that the chain should go on without it.
+func (n *Node) Impaired() bool {
+	return n.stopped() || n.diskHealth.isFailing(logTask) || n.disk.stalled(time.Now())
+}
 
-// DiskRefusesWrites reports whether the disk refuses what this replica has to write, as a full disk does.
-func (n *Node) DiskRefusesWrites() bool { return n.disk.refuses() }
+// DiskStatus says whether this replica's disk works.
+func (n *Node) DiskStatus() DiskStatus { return n.diskHealth.status() }
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"math/rand/v2"
 	"net"
 	"net/netip"
@@ -37,8 +36,11 @@
 	Members   Members
 	// Configuration and Placement disseminate the committed configuration and placement.
 	Configuration, Placement Topic
-	// OnFailure is called once if the disk fails.
+	// OnFailure is called once if the replica cannot go on (chain.Options.OnFailure).
 	OnFailure func(error)
+	// AwaitDisk, if set, is called with the error if the replica cannot be opened because the disk fails. New tries again once it has
+	// returned true.
+	AwaitDisk func(error) bool
 	Log       *zap.Logger
 }
 
@@ -73,16 +75,11 @@
 // New opens the replica and listens at the operator's address, and registers handlers on the transport. The caller must call
 // Stop in the end, unless New returns an error.
 func New(o Options) (*Control, error) {
-	listener, err := listen(context.Background(), o.Settings.Listen.ControlPlane)
-	if err != nil {
-		return nil, err
-	}
 	c := &Control{
 		options:        o,
 		heartbeat:      o.Settings.Heartbeat(),
 		machine:        NewMachine(),
 		reports:        newReportStore(),
-		listener:       listener,
 		commits:        make(chan struct{}, 1),
 		wakePublisher:  make(chan struct{}, 1),
 		wakeHeadStatus: make(chan struct{}, 1),
@@ -90,14 +87,27 @@
 	}
 	if o.Replica != 0 {
 		if err := c.openReplica(); err != nil {
-			return nil, errors.Join(err, listener.Close())
+			return nil, err
 		}
 		c.assemble()
 	}
+	listener, err := listen(context.Background(), o.Settings.Listen.ControlPlane)
+	if err != nil {
+		c.closeReplica()
+		return nil, err
+	}
+	c.listener = listener
 	c.api = newAPI(listener, c.service, c.Status, c.otherNode)
 	return c, nil
 }
 
+// closeReplica closes the replica if there is one.
+func (c *Control) closeReplica() {
+	if c.node != nil {
+		c.node.Close()
+	}
+}
+
 // signal wakes the receiver of a channel that buffers one signal. It does not block.
 func signal(channel chan<- struct{}) {
 	select {
@@ -193,6 +203,14 @@
 // State returns the latest committed state that is applied at this node.
 func (c *Control) State() *State { return c.machine.State() }
 
+// DiskStatus says whether the disk of this node's replica works. It is zero in a process without a replica.
+func (c *Control) DiskStatus() chain.DiskStatus {
+	if c.node == nil {
+		return chain.DiskStatus{}
+	}
+	return c.node.DiskStatus()
+}
+
 // HeadStatus returns the proof that this node is the head of the control chain, nil for a process without a replica.
 func (c *Control) HeadStatus() *HeadStatus { return c.headStatus }
 
@@ -221,7 +239,5 @@
 		c.stop()
 	}
 	c.goroutines.Wait()
-	if c.node != nil {
-		c.node.Close()
-	}
+	c.closeReplica()
 }
--- a/internal/control/controlapi/golden_test.go
+++ b/internal/control/controlapi/golden_test.go
@@ -42,6 +42,7 @@
 		{Node: "control-1", Role: "control", Zone: "zone-a", Address: "10.0.0.1:7660", State: "alive"},
 		{Node: "store-3", Role: "store", Zone: "zone-b", Address: "10.0.0.2:7660", State: "suspect", Leaving: true},
 	},
+	FailingDisks: []DiskState{{Node: "store-5", FailingSeconds: 41.5, Failures: 42, Error: "sync segment: input/output error"}},
 }
 
 func TestGoldenBodies(t *testing.T) {
--- a/internal/control/controlapi/status.go
+++ b/internal/control/controlapi/status.go
@@ -8,6 +8,20 @@
 	Placement     PlacementState     `json:"placement"`
 	Retirements   []RetirementState  `json:"retirements"`
 	Members       []MemberState      `json:"members"`
+	// FailingDisks are the disks that do not work at present: that of the node that answers, and of stores if it is the head of
+	// the control chain, to which they report.
+	FailingDisks []DiskState `json:"failingDisks,omitempty"`
+}
+
+// DiskState describes a disk that does not work at present.
+type DiskState struct {
+	Node string `json:"node"`
+	// FailingSeconds is for how long operations have been tried again without success.
+	FailingSeconds float64 `json:"failingSeconds"`
+	// Failures counts the failed operations since the process was started.
+	Failures uint64 `json:"failures"`
+	// Error is that of the last failure.
+	Error string `json:"error"`
 }
 
 // ConfigurationState describes the configuration.
--- a/internal/control/controlwire/control.capnp
+++ b/internal/control/controlwire/control.capnp
@@ -117,4 +117,11 @@
   chains @1 :List(ChainStatus);
   forwarded @2 :Bool;
   impaired @3 :Bool;
+  diskTrouble @4 :DiskTrouble;
+}
+
+struct DiskTrouble {
+  milliseconds @0 :UInt64;
+  failures @1 :UInt64;
+  error @2 :Text;
 }
--- a/internal/control/golden_api_test.go
+++ b/internal/control/golden_api_test.go
@@ -103,6 +103,7 @@
 		member.Member{Name: "proxy-1", Role: "proxy", Zone: "zone-c", Address: netip.MustParseAddrPort("10.0.0.3:7660"), State: member.Dead},
 	)}
 	return &Control{
+		reports: newReportStore(),
 		options: Options{Settings: &settings.Settings{NodeName: "control-1"}, Members: members},
 		machine: machine,
 	}
--- a/internal/control/golden_test.go
+++ b/internal/control/golden_test.go
@@ -105,6 +105,9 @@
 	}{
 		{"report_forwarded", forwardedReport{Report{Store: goldenStore, Chains: chains}, true}},
 		{"report_impaired", forwardedReport{Report{Store: goldenStore, Chains: chains, Impaired: true}, false}},
+		{"report_disk_trouble", forwardedReport{Report{Store: goldenStore, Impaired: true, DiskTrouble: &DiskTrouble{
+			For: 77 * time.Millisecond, Failures: 78, Error: "79",
+		}}, false}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			golden.RoundTrip(t, c.name+".hex", c.value, encode, decode)
@@ -141,6 +144,14 @@
 	checkGoldenState(t, restored.State(), LeaseholderSet{Epoch: 51, Revision: 1, Members: []Leaseholder{goldenAdded, goldenRemoved}})
 }
 
+// A report that an earlier version of the program sent tells of no trouble.
+func TestReportWithoutDiskTroubleIsRead(t *testing.T) {
+	report, _, err := decodeReport(golden.ReadBytes(t, "report_without_disk_trouble.hex"))
+	if err != nil || !report.Impaired || report.DiskTrouble != nil || report.Store != goldenStore {
+		t.Errorf("report: got %+v, error %v; want it impaired, without trouble", report, err)
+	}
+}
+
 // goldenMachine returns a machine whose state has an element of each kind that a snapshot contains.
 func goldenMachine(t *testing.T) *Machine {
 	t.Helper()
--- a/internal/control/replica.go
+++ b/internal/control/replica.go
@@ -6,6 +6,7 @@
 	"github.com/ansel1/merry/v2"
 
 	"nickelline/internal/chain"
+	"nickelline/internal/segment"
 	"nickelline/internal/view"
 )
 
@@ -19,14 +20,25 @@
 	minimumChainMembers = 3
 )
 
-// openReplica opens the replica of the control chain and the reconfigurer of its views.
+// openReplica opens the replica of the control chain and the reconfigurer of its views. While the disk fails, it tries again.
 func (c *Control) openReplica() error {
+	dispatcher := chain.NewDispatcher(c.options.Transport, c.options.Log)
+	for {
+		err := c.tryOpenReplica(dispatcher)
+		if !segment.IsTransient(err) || c.options.AwaitDisk == nil || !c.options.AwaitDisk(err) {
+			return c.handleOpenError(err)
+		}
+	}
+}
+
+func (c *Control) tryOpenReplica(dispatcher *chain.Dispatcher) error {
+	c.machine = NewMachine() // the one of a failed attempt may have applied entries
 	o := c.options
 	losses := o.Settings.FaultTolerance.Losses()
 	node, err := chain.Open(chain.Options{
 		Chain:           controlChain,
 		Self:            c.self(),
-		Dispatcher:      chain.NewDispatcher(o.Transport, o.Log),
+		Dispatcher:      dispatcher,
 		FileSystem:      o.FileSystem,
 		Directory:       path.Join(o.Settings.DataDirectory, chainDirectory),
 		StateMachine:    c.machine,
@@ -35,10 +47,9 @@
 		Log:             o.Log,
 	})
 	if err != nil {
-		return c.handleOpenError(merry.Prepend(err, "control chain"))
+		return merry.Prepend(err, "control chain")
 	}
-	c.node = node
-	c.reconfigurer, err = chain.NewReconfigurer(chain.ReconfigurerOptions{
+	reconfigurer, err := chain.NewReconfigurer(chain.ReconfigurerOptions{
 		Node:       node,
 		Seeds:      o.Settings.SeedInternalAddresses(),
 		FirstStart: o.Settings.InitialStart,
@@ -46,8 +57,9 @@
 	})
 	if err != nil {
 		node.Close()
-		return c.handleOpenError(merry.Prepend(err, "reconfigurer of the control chain"))
+		return merry.Prepend(err, "reconfigurer of the control chain")
 	}
+	c.node, c.reconfigurer = node, reconfigurer
 	return nil
 }
 
--- a/internal/control/report.go
+++ b/internal/control/report.go
@@ -3,7 +3,10 @@
 import (
 	"context"
 	"net/netip"
+	"strings"
+	"time"
 
+	"nickelline/internal/chain"
 	"nickelline/internal/peer"
 )
 
@@ -18,6 +21,31 @@
 	Chains []ChainStatus
 	// Impaired is set while the store's disk does not work, so that the store can be in no view.
 	Impaired bool
+	// DiskTrouble describes what the store's disk does not do at present, nil if it works.
+	DiskTrouble *DiskTrouble
+}
+
+// DiskTrouble describes what a disk does not do at present.
+type DiskTrouble struct {
+	For      time.Duration // how long it has lasted; sent in milliseconds
+	Failures uint64        // of the disk since the process was started
+	Error    string        // of the last failure
+}
+
+// diskErrorLimit bounds the text of DiskTrouble.Error, in bytes.
+const diskErrorLimit = 300
+
+// NewDiskTrouble describes the trouble of a status, nil if there is none.
+func NewDiskTrouble(status chain.DiskStatus, now time.Time) *DiskTrouble {
+	if status.FailingSince.IsZero() {
+		return nil
+	}
+	text := status.Err.Error()
+	return &DiskTrouble{
+		For:      now.Sub(status.FailingSince).Truncate(time.Millisecond),
+		Failures: status.Failures,
+		Error:    strings.ToValidUTF8(text[:min(len(text), diskErrorLimit)], ""),
+	}
 }
 
 // ChainStatus describes the progress of a store's replica of one partition. Chain is placement.ChainOf(partition).
--- a/internal/control/report_codec.go
+++ b/internal/control/report_codec.go
@@ -1,6 +1,8 @@
 package control
 
 import (
+	"time"
+
 	"nickelline/internal/capnpcodec"
 	"nickelline/internal/control/controlwire"
 )
@@ -17,10 +19,26 @@
 		if err := fillStore(store, report.Store); err != nil {
 			return err
 		}
+		if err := fillDiskTrouble(root, report.DiskTrouble); err != nil {
+			return err
+		}
 		return fillChains(root, report.Chains)
 	})
 }
 
+func fillDiskTrouble(root controlwire.Report, trouble *DiskTrouble) error {
+	if trouble == nil {
+		return nil
+	}
+	element, err := root.NewDiskTrouble()
+	if err != nil {
+		return err
+	}
+	element.SetMilliseconds(uint64(trouble.For.Milliseconds()))
+	element.SetFailures(trouble.Failures)
+	return element.SetError(trouble.Error)
+}
+
 func fillChains(root controlwire.Report, chains []ChainStatus) error {
 	list, err := root.NewChains(int32(len(chains)))
 	if err != nil {
@@ -51,12 +69,34 @@
 		return Report{}, false, err
 	}
 	report.Impaired = root.Impaired()
+	if report.DiskTrouble, err = readDiskTrouble(root); err != nil {
+		return Report{}, false, err
+	}
 	if report.Chains, err = readChains(root); err != nil {
 		return Report{}, false, err
 	}
 	return report, root.Forwarded(), nil
 }
 
+func readDiskTrouble(root controlwire.Report) (*DiskTrouble, error) {
+	if !root.HasDiskTrouble() {
+		return nil, nil
+	}
+	element, err := root.DiskTrouble()
+	if err != nil {
+		return nil, err
+	}
+	text, err := element.Error()
+	if err != nil {
+		return nil, err
+	}
+	return &DiskTrouble{
+		For:      time.Duration(element.Milliseconds()) * time.Millisecond,
+		Failures: element.Failures(),
+		Error:    text,
+	}, nil
+}
+
 func readChains(root controlwire.Report) ([]ChainStatus, error) {
 	list, err := root.Chains()
 	if err != nil {
--- a/internal/control/report_store.go
+++ b/internal/control/report_store.go
@@ -15,8 +15,10 @@
 }
 
 type receivedReport struct {
+	store    string // name
 	chains   []ChainStatus
 	impaired bool
+	trouble  *DiskTrouble
 	at       time.Time
 }
 
@@ -28,7 +30,13 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	last, known := r.byReplica[report.Store.Replica]
-	r.byReplica[report.Store.Replica] = receivedReport{chains: report.Chains, impaired: report.Impaired, at: at}
+	r.byReplica[report.Store.Replica] = receivedReport{
+		store:    report.Store.Name,
+		chains:   report.Chains,
+		impaired: report.Impaired,
+		trouble:  report.DiskTrouble,
+		at:       at,
+	}
 	return !known || last.impaired != report.Impaired || !slices.Equal(last.chains, report.Chains)
 }
 
@@ -41,6 +49,19 @@
 	return received.chains, known && !received.impaired && !received.at.Before(since)
 }
 
+// diskTroubles returns the troubles in the reports, by the names of the stores.
+func (r *reportStore) diskTroubles() map[string]DiskTrouble {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	troubles := map[string]DiskTrouble{}
+	for _, received := range r.byReplica {
+		if received.trouble != nil {
+			troubles[received.store] = *received.trouble
+		}
+	}
+	return troubles
+}
+
 // expire drops the reports that were received before the given time.
 func (r *reportStore) expire(before time.Time) {
 	r.mutex.Lock()
--- a/internal/control/status.go
+++ b/internal/control/status.go
@@ -1,7 +1,9 @@
 package control
 
 import (
+	"maps"
 	"slices"
+	"time"
 
 	"nickelline/internal/control/controlapi"
 	"nickelline/internal/member"
@@ -18,9 +20,29 @@
 		Placement:     describePlacement(state),
 		Retirements:   describeRetirements(state),
 		Members:       describeMembers(c.options.Members.Table()),
+		FailingDisks:  c.describeDisks(),
 	}
 }
 
+// describeDisks describes the failing disks that this node knows of: its own, and as the head of the control chain those of the stores.
+func (c *Control) describeDisks() []controlapi.DiskState {
+	troubles := c.reports.diskTroubles()
+	if own := NewDiskTrouble(c.DiskStatus(), time.Now()); own != nil {
+		troubles[c.options.Settings.NodeName] = *own
+	}
+	var described []controlapi.DiskState
+	for _, node := range slices.Sorted(maps.Keys(troubles)) {
+		trouble := troubles[node]
+		described = append(described, controlapi.DiskState{
+			Node:           node,
+			FailingSeconds: trouble.For.Seconds(),
+			Failures:       trouble.Failures,
+			Error:          trouble.Error,
+		})
+	}
+	return described
+}
+
 func describeConfiguration(state *State) controlapi.ConfigurationState {
 	if state.Configuration == nil {
 		return controlapi.ConfigurationState{}
--- a/internal/segment/doc.go
+++ b/internal/segment/doc.go
@@ -11,15 +11,33 @@
 //
 // # Requirements on the caller
 //
-// A write that the disk refuses (IsRefusal), because it is full or fails to write, leaves the log open and as it was: the caller may try
-// the operation again. After a failed sync, or if a refused write cannot be undone, it is unknown what is on the disk, and the
-// log closes itself.
-//
 // Append and TruncateAfter only buffer: whatever depends on an entry being durable, such as an acknowledgement, has to wait
-// for a Sync. A log that returned an error matching ErrClosed has to be opened again before it can be used, because the
-// contents of the disk are unknown. The data of an entry must not be changed after Append. A replica whose directory is damaged
-// has lost data that it acknowledged: it has to remove the files (Clear, RemoveFiles) and take a new identity. Only one Log at
-// a time may be open on a directory.
+// for a Sync. The data of an entry must not be changed after Append. A replica whose directory is damaged has lost data that it
+// acknowledged: it has to remove the files (Clear, RemoveFiles) and take a new identity. Only one Log at a time may be open on a
+// directory.
+//
+// # Disks that fail
+//
+// No failure of a disk closes a log, whatever its error: the caller may try the operation again (IsTransient), and should, until it
+// succeeds. Until then it is unknown what the disk holds after the last successful Sync:
+//
+//	failure                          state of the log                          the next attempt
+//	write, sync of a segment         the frames since the last Sync are        cuts the segment back to its synced part, and
+//	                                 pending again, in memory                  writes and syncs the frames again
+//	new segment, sync of its folder  unchanged                                 tries again
+//	snapshot                         unchanged                                 writes another one; the failed one is removed now
+//	                                                                           or later
+//	reset: rename, sync of folder    ErrUnfinishedReset for all else           begins again; until then Open finds either state
+//	record                           holds the old or the new contents         writes it again
+//	removal of obsolete files        unchanged                                 the next snapshot or Open removes them
+//	read during Open                 no log                                    opens again
+//
+// A sync that fails is not tried again by itself: the system may count data as written that it has lost. Neither reading the data nor a
+// further sync proves anything then, so they are written again. As a process may be killed before it has done so, Open writes
+// those frames again that no later frame counts as synced. The names in a folder are taken to be durable once a sync of the folder
+// succeeds, also after one that failed: file systems either write them with the next sync or take no more changes.
+//
+// All that takes no more space than the frames themselves, and cutting back frees some: nothing has to be kept in reserve.
 //
 // # Layout of the directory
 //
@@ -36,8 +54,8 @@
 //   - record.go: records that are replaced as a whole
 //   - frame.go, names.go: the formats of frames and of file names
 //   - log.go, options.go, errors.go: the log and its operations
-//   - write_buffer.go, files.go, writer.go: writing and syncing appended entries
+//   - write_buffer.go, files.go, writer.go, rewrite.go: writing and syncing appended entries, and doing so again after a failure
 //   - snapshot_file.go, snapshot.go: snapshots, and the removal of the segments that they replace
-//   - open.go, recovery.go, resume.go: reading a log back and preparing it for further entries
+//   - open.go, recovery.go, unproven.go, resume.go: reading a log back and preparing it for further entries
 //   - remove.go: removing the files of a replica
 package segment
--- a/internal/segment/files.go
+++ b/internal/segment/files.go
@@ -7,6 +7,8 @@
 	highestSequence uint64
 	// size is the number of bytes of complete frames in the segment.
 	size int64
+	// syncedSize is how many of these bytes are known to be on the disk.
+	syncedSize int64
 }
 
 // files is the state of the log's files.
@@ -25,10 +27,15 @@
 	current File
 	// sizeSinceSnapshot is the number of bytes that were written to segments after the newest snapshot was begun.
 	sizeSinceSnapshot int64
-	// unsynced is true if the current segment has been written to since its last sync.
-	unsynced bool
+	// unsynced holds the frames that were written to the current segment after its last sync.
+	unsynced writeBuffer
+	// tailUnknown is true if a write or a sync has failed, so that it is unknown what the current segment holds after its synced
+	// part. It has to be cut back before anything else is written.
+	tailUnknown bool
 	// directoryUnsynced is true if the directory has not been synced since the current segment was created.
 	directoryUnsynced bool
+	// obsolete are the names of files that are no longer needed and that are still to be removed.
+	obsolete []string
 }
 
 func (f *files) currentSegment() *segmentState { return &f.segments[len(f.segments)-1] }
--- a/internal/segment/filesystem.go
+++ b/internal/segment/filesystem.go
@@ -1,10 +1,13 @@
 package segment
 
 import (
+	"errors"
 	"io"
 	"os"
 	"path/filepath"
 	"strings"
+
+	"github.com/ansel1/merry/v2"
 )
 
 const (
@@ -15,10 +18,14 @@
 // File is a file that is open for writing at its end.
 type File interface {
 	io.WriteCloser
-	// Sync returns once the contents are on the disk. After an error it is unknown which of them are.
+	// Sync returns once the contents are on the disk. After an error it is unknown which of them are, even if they can be read, and a
+	// later Sync only covers what is written after the error.
 	Sync() error
-	// Truncate reduces the file to a size in bytes. Later writes append at its new end.
+	// Truncate reduces the file to a size in bytes. Later writes append at its new end. The error matches ErrDamaged if the file is
+	// smaller.
 	Truncate(size int64) error
+	// Rewrite writes data at an offset at which the file holds the same data already, so that a later Sync covers it.
+	Rewrite(data []byte, offset int64) error
 }
 
 // FileSystem is the set of file operations that the package uses. Paths are separated by slashes. Errors for files that do not
@@ -49,20 +56,61 @@
 
 // Create implements FileSystem.
 func (OSFileSystem) Create(path string) (File, error) {
-	return openFile(path, os.O_CREATE|os.O_TRUNC|os.O_WRONLY|os.O_APPEND)
+	file, err := openFile(path, os.O_CREATE|os.O_TRUNC|os.O_WRONLY)
+	if err != nil {
+		return nil, err
+	}
+	return file, nil
 }
 
 // OpenAppend implements FileSystem.
 func (OSFileSystem) OpenAppend(path string) (File, error) {
-	return openFile(path, os.O_WRONLY|os.O_APPEND)
+	file, err := openFile(path, os.O_WRONLY)
+	if err != nil {
+		return nil, err
+	}
+	if _, err := file.Seek(0, io.SeekEnd); err != nil {
+		_ = file.Close()
+		return nil, err
+	}
+	return file, nil
 }
 
-func openFile(path string, flags int) (File, error) {
+func openFile(path string, flags int) (*osFile, error) {
 	file, err := os.OpenFile(path, flags, filePermissions)
 	if err != nil {
 		return nil, err
 	}
-	return file, nil
+	return &osFile{File: file}, nil
+}
+
+// osFile implements File. Its offset is the end of the file between calls.
+type osFile struct{ *os.File }
+
+// Truncate implements File.
+func (f *osFile) Truncate(size int64) error {
+	info, err := f.Stat()
+	if err != nil {
+		return err
+	}
+	if info.Size() < size {
+		return merry.Prependf(ErrDamaged, "%s has %d bytes, fewer than %d", filepath.Base(f.Name()), info.Size(), size)
+	}
+	if err := f.File.Truncate(size); err != nil {
+		return err
+	}
+	_, err = f.Seek(size, io.SeekStart)
+	return err
+}
+
+// Rewrite implements File.
+func (f *osFile) Rewrite(data []byte, offset int64) error {
+	if _, err := f.Seek(offset, io.SeekStart); err != nil {
+		return err
+	}
+	_, err := f.Write(data)
+	_, seekErr := f.Seek(0, io.SeekEnd)
+	return errors.Join(err, seekErr)
 }
 
 // ReadFile implements FileSystem.
--- a/internal/segment/recovery.go
+++ b/internal/segment/recovery.go
@@ -23,6 +23,8 @@
 	lastSequence uint64
 	// lastOrdinal is the ordinal of the last frame that was read.
 	lastOrdinal uint64
+	// unproven are the frames of the last segment that no later frame proves to be on the disk.
+	unproven unprovenFrames
 }
 
 // read reads the snapshot and the segments after it. After an error the result holds what could be read before the damage. The
@@ -106,11 +108,13 @@
 		return err
 	}
 	r.segments = append(r.segments, segmentState{index: name.index})
+	r.unproven = unprovenFrames{contents: contents}
 	size, err := r.replayFrames(contents)
 	if err != nil {
 		return err
 	}
 	r.segments[len(r.segments)-1].size = int64(size)
+	r.segments[len(r.segments)-1].syncedSize = int64(size)
 	tail := contents[size:]
 	if len(tail) == 0 {
 		return nil
@@ -133,6 +137,7 @@
 		if err := r.replay(f); err != nil {
 			return size, err
 		}
+		r.unproven.add(f, size)
 		size += f.size()
 	}
 	return size, nil
--- a/internal/segment/resume.go
+++ b/internal/segment/resume.go
@@ -102,8 +102,8 @@
 	return size
 }
 
-// openCurrent opens the last segment, truncates a torn tail and syncs the file, because a process that was killed may have left
-// writes that are not on the disk yet.
+// openCurrent opens the last segment, truncates a torn tail, writes again what is not proven to be on the disk, and syncs the file,
+// because a process that was killed may have left writes that are not on the disk.
 func (r *recovery) openCurrent(log *Log) error {
 	current := log.files.currentSegment()
 	file, err := r.fileSystem.OpenAppend(log.path(segmentName{r.found.generation, current.index}.String()))
@@ -118,12 +118,14 @@
 	return nil
 }
 
-// syncRecovered truncates a segment to its complete frames and syncs it.
+// syncRecovered truncates a segment to its complete frames, writes the unproven ones of them again, and syncs it. It truncates the segment
+// even if no torn tail can be read: one that an earlier process has cut off may still be on the disk, if the sync after that failed.
 func (r *recovery) syncRecovered(file File, size int64) error {
-	if r.result.TruncatedBytes > 0 {
-		if err := file.Truncate(size); err != nil {
-			return merry.Prepend(err, "truncate torn tail")
-		}
+	if err := file.Truncate(size); err != nil {
+		return merry.Prepend(err, "truncate torn tail")
+	}
+	if err := r.unproven.rewrite(file, size); err != nil {
+		return merry.Prepend(err, "write unproven frames")
 	}
 	if err := file.Sync(); err != nil {
 		return merry.Prepend(err, "sync segment")
--- a/internal/simnet/disk.go
+++ b/internal/simnet/disk.go
@@ -12,6 +12,9 @@
 // ErrProcessEnded is returned by all operations of a process that was killed or whose machine lost power.
 var ErrProcessEnded = errors.New("the simulated process has ended")
 
+// ErrFailed is matched by the error of an operation that FailOneIn made fail.
+var ErrFailed = errors.New("the simulated disk has failed")
+
 // ErrSyncFailed is returned by a sync that FailSyncs made fail.
 var ErrSyncFailed = errors.New("the simulated disk failed to sync")
 
@@ -33,6 +36,8 @@
 	remainingOperations int
 	// failingSyncs is how many of the next syncs fail.
 	failingSyncs int
+	// failingOneIn is one in how many operations fail, 0 for none.
+	failingOneIn int
 	// stalled is closed when syncs resume. It is nil while they are not stalled.
 	stalled chan struct{}
 	// operations counts changes: writes, truncations, syncs and changes of names.
@@ -52,6 +57,7 @@
 	d.syncedNames = make(map[string]*inode)
 	d.remainingOperations = -1
 	d.failingSyncs = 0
+	d.failingOneIn = 0
 }
 
 // Mount returns the disk's file system for a process that starts. It ends all file systems returned before.
@@ -102,14 +108,22 @@
 	d.capacity = bytes
 }
 
-// FailSyncs makes the next count syncs fail. After a failed sync of a file, each of its unsynced writes is present,
-// torn or missing.
+// FailSyncs makes the next count syncs fail. After a failed sync of a file, each of its unsynced changes is on the disk, torn or
+// missing, no later sync covers it, and a process reads either what is on the disk or all that was written.
 func (d *Disk) FailSyncs(count int) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	d.failingSyncs = count
 }
 
+// FailOneIn makes one in the given number of operations fail at random, with an error that is drawn at random. A change that fails is
+// made or not, a write in part, and a sync fails as described at FailSyncs. 0 stands for no failures.
+func (d *Disk) FailOneIn(operations int) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.failingOneIn = operations
+}
+
 // StallSyncs makes syncs block until the returned function is called.
 func (d *Disk) StallSyncs() (resume func()) {
 	d.mutex.Lock()
--- a/internal/simnet/inode.go
+++ b/internal/simnet/inode.go
@@ -7,10 +7,11 @@
 
 // inode is a file of a simulated disk, independent of its names.
 type inode struct {
-	// data is what a process reads, and synced what survives any loss of power.
+	// data is what a process reads, and synced what survives any loss of power. After a failed sync they may differ though there
+	// are no changes.
 	data   []byte
 	synced []byte
-	// changes are those made since the file was last synced, in order.
+	// changes are those that the next sync covers, in order.
 	changes []change
 	// named is set during a loss of power when the first name of the file has been found.
 	named bool
@@ -35,6 +36,33 @@
 	n.data = resize(n.data, size)
 }
 
+// rewrite writes data at an offset within the file.
+func (n *inode) rewrite(data []byte, offset int) {
+	n.changes = append(n.changes, change{offset: offset, data: slices.Clone(data)})
+	n.data = overwrite(n.data, offset, data)
+}
+
+// sync makes the changes durable.
+func (n *inode) sync() {
+	for _, c := range n.changes {
+		n.synced = c.apply(n.synced)
+	}
+	n.changes = nil
+}
+
+// failSync makes some of the changes durable. No later sync covers the others. A process reads either what is durable or, since the
+// system may keep in memory what it could not write, all that was written.
+func (n *inode) failSync(random *rand.Rand, o lossOutcome) {
+	for _, c := range n.changes {
+		n.synced = c.afterLoss(random, o, n.synced)
+	}
+	n.changes = nil
+	if random.IntN(2) == 0 {
+		n.data = slices.Clone(n.synced)
+	}
+}
+
+// markSynced makes all that a process reads durable.
 func (n *inode) markSynced() {
 	n.synced = slices.Clone(n.data)
 	n.changes = nil
@@ -64,7 +92,7 @@
 	return lossOutcome(random.IntN(int(lossOutcomeCount)))
 }
 
-// loseUnsyncedChanges decides which of the unsynced changes remain after a loss of power or a failed sync.
+// loseUnsyncedChanges decides which of the unsynced changes remain after a loss of power.
 func (n *inode) loseUnsyncedChanges(random *rand.Rand, o lossOutcome) {
 	data := slices.Clone(n.synced)
 	for _, c := range n.changes {
@@ -94,12 +122,18 @@
 	switch {
 	case outcome == missing:
 		return data
-	case c.data == nil:
-		return resize(data, c.offset)
-	case outcome == torn:
+	case outcome == torn && c.data != nil:
 		first, last := tornRange(random, len(c.data))
 		return overwrite(data, c.offset+first, c.data[first:last])
 	}
+	return c.apply(data)
+}
+
+// apply applies the whole change to the data of a file, and returns the new data.
+func (c change) apply(data []byte) []byte {
+	if c.data == nil {
+		return resize(data, c.offset)
+	}
 	return overwrite(data, c.offset, c.data)
 }
 
--- a/internal/store/discard.go
+++ b/internal/store/discard.go
@@ -38,9 +38,21 @@
 	number := hosted.partition.number
 	delete(s.partitions, number)
 	hosted.close()
-	if err := removeLog(s.options.FileSystem, s.logOf(number)); err != nil {
-		s.options.Log.Warn("remove log of discarded partition failed", zap.Uint32("partition", number), zap.Error(err))
+	s.removeLogOf(number)
+}
+
+// removeLogOf removes the log of a discarded partition. If that fails, it is recorded, so that retryDisk tries again. The caller holds the
+// service's mutex.
+func (s *Service) removeLogOf(number uint32) {
+	err := removeLog(s.options.FileSystem, s.logOf(number))
+	if err == nil {
+		delete(s.unremoved, number)
+		return
+	}
+	if !s.unremoved[number] {
+		s.options.Log.Warn("remove log of discarded partition failed, trying again", zap.Uint32("partition", number), zap.Error(err))
 	}
+	s.unremoved[number] = true
 }
 
 // removalName is the name of an empty file, within the directory of a log, that exists while the log is being removed.
@@ -90,7 +102,7 @@
 // removeDurably removes files of a directory, and returns once their names are gone from the disk.
 func removeDurably(fileSystem segment.FileSystem, directory string, names ...string) error {
 	for _, name := range names {
-		if err := fileSystem.Remove(path.Join(directory, name)); err != nil {
+		if err := fileSystem.Remove(path.Join(directory, name)); err != nil && !errors.Is(err, fs.ErrNotExist) {
 			return err
 		}
 	}
--- a/internal/store/options.go
+++ b/internal/store/options.go
@@ -37,7 +37,7 @@
 	ControlNodes func() []netip.AddrPort
 	// ReportInterval is how often the progress of the partitions is reported to the control nodes, in addition to after changes.
 	ReportInterval time.Duration
-	// OnFailure is called if a disk fails.
+	// OnFailure is called if a replica cannot go on (chain.Options.OnFailure).
 	OnFailure func(error)
 	Log       *zap.Logger
 }
--- a/internal/store/placement.go
+++ b/internal/store/placement.go
@@ -2,8 +2,7 @@
 
 import (
 	"slices"
-
-	"go.uber.org/zap"
+	"time"
 
 	"nickelline/internal/placement"
 	"nickelline/internal/view"
@@ -58,8 +57,7 @@
 	if hosted == nil {
 		var err error
 		if hosted, err = s.open(p.View.Chain); err != nil {
-			s.options.Log.Error("open partition failed", zap.Uint32("partition", p.View.Chain), zap.Error(err))
-			s.unopened[p.View.Chain] = true
+			s.unopened.observe(time.Now(), s.options.Log)
 			return
 		}
 	}
@@ -70,20 +68,6 @@
 	}
 }
 
-// openUnopened tries again to open the replicas that could not be opened, for example because the disk was full.
-func (s *Service) openUnopened() {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	if s.closed || len(s.unopened) == 0 {
-		return
-	}
-	failed := s.unopened
-	s.unopened = map[uint32]bool{}
-	for number := range failed {
-		s.apply(s.placements[number])
-	}
-}
-
 // reapplyPlacement applies the placement of a partition again, after its replica has installed a view that does not include it.
 func (s *Service) reapplyPlacement(number uint32) {
 	s.mutex.Lock()
--- a/internal/store/progress.go
+++ b/internal/store/progress.go
@@ -22,7 +22,7 @@
 )
 
 // Run reports the progress of the partitions to the control nodes, at intervals and after changes, until ctx ends. At the same
-// intervals it tries again to open replicas that could not be opened.
+// intervals it tries again what the disk has not done.
 func (s *Service) Run(ctx context.Context) {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
@@ -34,7 +34,7 @@
 		case <-s.changed:
 			pause.For(ctx, reportDelay)
 		}
-		s.openUnopened()
+		s.retryDisk()
 		s.report(ctx)
 		timer.Reset(s.options.ReportInterval)
 	}
@@ -72,10 +72,14 @@
 	return err == nil
 }
 
-// isImpaired reports whether the disk of any partition does not work properly.
+// isImpaired reports whether the disk of any partition does not work properly. That includes partitions that could not be opened: a
+// report without them would keep their chains waiting for this store.
 func (s *Service) isImpaired() bool {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
+	if s.unopened.err() != nil {
+		return true
+	}
 	for _, hosted := range s.partitions {
 		if hosted.node.Impaired() {
 			return true
@@ -87,8 +91,9 @@
 // currentReport returns the progress of the partitions, or a report that the store is impaired, which removes it from the views.
 func (s *Service) currentReport() control.Report {
 	report := control.Report{
-		Store:    control.Store{Name: s.options.Self.Name, Replica: uint64(s.options.Self.Replica)},
-		Impaired: s.isImpaired(),
+		Store:       control.Store{Name: s.options.Self.Name, Replica: uint64(s.options.Self.Replica)},
+		Impaired:    s.isImpaired(),
+		DiskTrouble: control.NewDiskTrouble(s.DiskStatus(), time.Now()),
 	}
 	if !report.Impaired {
 		report.Chains = s.progress()
--- a/internal/store/stats.go
+++ b/internal/store/stats.go
@@ -3,6 +3,8 @@
 import (
 	"maps"
 	"time"
+
+	"nickelline/internal/chain"
 )
 
 // RouteStats counts the items of one route in the partitions whose head is this store.
@@ -22,8 +24,12 @@
 	// has done so that has lagged longest.
 	Lagging    int
 	LongestLag time.Duration
-	// Refusing counts the replicas whose disk refuses writes, as a full disk does.
-	Refusing int
+	// Unopened counts the partitions that could not be opened so far, because the disk failed.
+	Unopened int
+	// Disk is the status of the disk: the sum of the failures of all replicas, and the trouble that has lasted longest.
+	Disk chain.DiskStatus
+	// Failing counts the replicas with an operation that the disk does not carry out at present.
+	Failing int
 	// Routes counts the items by the name of their route.
 	Routes map[string]RouteStats
 	// Held counts how often an item that was next was not sent, by the name of its route and the reason.
@@ -37,18 +43,21 @@
 	s.mutex.Lock()
 	partitions := maps.Clone(s.partitions)
 	lagging, longest := s.monitor.longest(time.Now())
+	unopened := len(s.unopened.failures)
 	s.mutex.Unlock()
 	stats := Stats{
 		Partitions: len(partitions),
 		Lagging:    lagging,
 		LongestLag: longest,
+		Unopened:   unopened,
+		Disk:       s.DiskStatus(),
 		Routes:     map[string]RouteStats{},
 		Held:       s.runnerConfig.held.byRoute(),
 		Abandoned:  s.runnerConfig.abandoned.byRoute(),
 	}
 	for _, hosted := range partitions {
-		if hosted.node.DiskRefusesWrites() {
-			stats.Refusing++
+		if !hosted.node.DiskStatus().FailingSince.IsZero() {
+			stats.Failing++
 		}
 		if r := hosted.runner.Load(); r != nil {
 			stats.Heads++
@@ -58,6 +67,17 @@
 	return stats
 }
 
+// DiskStatus returns the sum of the failures of all replicas' disks, and the trouble that has lasted longest.
+func (s *Service) DiskStatus() chain.DiskStatus {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	total := chain.DiskStatus{FailingSince: s.unopened.since, Err: s.unopened.err()}
+	for _, hosted := range s.partitions {
+		total = total.Add(hosted.node.DiskStatus())
+	}
+	return total
+}
+
 // addStats adds the counts of the runner's items to those of their routes.
 func (r *runner) addStats(routes map[string]RouteStats) {
 	r.mutex.Lock()
