--- a/internal/segment/crash_operations_test.go
+++ b/internal/segment/crash_operations_test.go
@@ -55,8 +55,11 @@
 	at := low + uint64(h.random.IntN(int(h.last().sequence-low)+1))
 	data := binary.LittleEndian.AppendUint64(nil, h.states[at-base].digest)
 	data = append(data, make([]byte, h.random.IntN(100))...)
-	if h.handle(h.log.SaveSnapshot(segment.Snapshot{Epoch: h.epoch, Sequence: at, Data: data})) {
+	err := h.log.SaveSnapshot(segment.Snapshot{Epoch: h.epoch, Sequence: at, Data: data})
+	if !errors.Is(err, simnet.ErrProcessEnded) {
 		h.snapshotAt = at
+	}
+	if h.handle(err) {
 		h.recoveryBases = 2
 		h.allowed = []state{h.last()}
 	}
@@ -115,11 +118,13 @@
 
 // injectFault makes a sync fail, leaves little free space on the disk, or makes operations fail at random until mend is called.
 func (h *history) injectFault() {
-	switch h.random.IntN(2) {
+	switch h.random.IntN(3) {
 	case 0:
 		h.disk.FailSyncs(1)
 	case 1:
 		h.disk.SetCapacity(h.disk.Used() + h.random.IntN(maxHeadroomBytes))
+	case 2:
+		h.disk.FailOneIn(1 + h.random.IntN(maxFailingOneIn))
 	}
 }
 
--- a/internal/segment/crash_test.go
+++ b/internal/segment/crash_test.go
@@ -21,6 +21,7 @@
 	historySegmentSize = 300
 	historyBufferSize  = 120
 	maxHeadroomBytes   = 400
+	maxFailingOneIn    = 8
 )
 
 // state identifies the contents of a log by its last sequence number and a digest of all entries up to that number.
--- a/internal/segment/doc.go
+++ b/internal/segment/doc.go
@@ -25,8 +25,8 @@
 //	write, sync of a segment         the frames since the last Sync are        cuts the segment back to its synced part, and
 //	                                 pending again, in memory                  writes and syncs the frames again
 //	new segment, sync of its folder  unchanged                                 tries again
-//	snapshot                         unchanged                                 writes another one; the failed one is removed now
-//	                                                                           or later
+//	snapshot                         unchanged; it may not be truncated to     writes another one; the failed one is removed now
+//	                                 before the snapshot, which may be there   or later
 //	reset: rename, sync of folder    ErrUnfinishedReset for all else           begins again; until then Open finds either state
 //	record                           holds the old or the new contents         writes it again
 //	removal of obsolete files        unchanged                                 the next snapshot or Open removes them
--- a/internal/segment/failing_disk_test.go
+++ b/internal/segment/failing_disk_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"syscall"
 	"testing"
 
 	"nickelline/internal/faultdisk"
@@ -79,3 +80,23 @@
 		}
 	}
 }
+
+// TestTruncationKeepsASnapshotThatMayBeOnTheDisk guards against entries that come back after they were cut off: a snapshot that could
+// neither be saved properly nor removed would bring them back at the next start.
+func TestTruncationKeepsASnapshotThatMayBeOnTheDisk(t *testing.T) {
+	disk, log, directory := openFaulty(t)
+	disk.Set(&faultdisk.Fault{Operations: []faultdisk.Operation{faultdisk.SyncDirectory, faultdisk.Remove}, Errno: syscall.EIO})
+	if err := log.SaveSnapshot(segment.Snapshot{Sequence: 4, Data: []byte("state")}); !errors.Is(err, syscall.EIO) {
+		t.Fatalf("snapshot on a failing disk: got %v, want %v", err, syscall.EIO)
+	}
+	disk.Set(nil)
+	if err := log.TruncateAfter(2); !errors.Is(err, segment.ErrOutOfOrder) {
+		t.Errorf("truncation to before the snapshot: got %v, want segment.ErrOutOfOrder", err)
+	}
+	mustSucceed(t, log.Close())
+	reopened, _, err := segment.Open(disk, directory, segment.Options{})
+	mustSucceed(t, err)
+	if last := reopened.LastSequence(); last != 4 {
+		t.Errorf("last entry after a restart: got %d, want 4", last)
+	}
+}
--- a/internal/segment/log.go
+++ b/internal/segment/log.go
@@ -48,7 +48,7 @@
 	mutex sync.Mutex
 	// pending holds frames that have been appended but not yet written.
 	pending writeBuffer
-	// snapshotSequence is the sequence number of the newest snapshot.
+	// snapshotSequence is the sequence number of the newest snapshot that may be on the disk.
 	snapshotSequence uint64
 	// lastSequence is the sequence number of the last entry, or of the snapshot if no entry follows it.
 	lastSequence uint64
--- a/internal/segment/snapshot.go
+++ b/internal/segment/snapshot.go
@@ -8,8 +8,9 @@
 )
 
 // SaveSnapshot saves the state after the entries up to the snapshot's sequence number, and removes segments that neither it nor
-// the snapshot before it needs. Entries may be appended and synced meanwhile. If it fails, the contents of the log are unchanged. The error
-// matches ErrOutOfOrder if the sequence number is outside the log.
+// the snapshot before it needs. Entries may be appended and synced meanwhile. If it fails, the contents of the log are unchanged, but
+// they may not be truncated to before the snapshot any longer, which may be on the disk. The error matches ErrOutOfOrder if the
+// sequence number is outside the log.
 func (l *Log) SaveSnapshot(s Snapshot) error {
 	l.snapshotMutex.Lock()
 	defer l.snapshotMutex.Unlock()
@@ -25,7 +26,7 @@
 		l.dropSnapshot(plan)
 		return err
 	}
-	return l.adoptSnapshot(plan, s)
+	return l.adoptSnapshot(plan)
 }
 
 // dropSnapshot removes a snapshot that was not saved properly.
@@ -100,25 +101,25 @@
 		}
 	}
 	f.nextSnapshot++
-	return snapshotPlan{name: name, size: f.sizeSinceSnapshot, ordinal: l.lastSynced()}, nil
+	return snapshotPlan{name: name, size: f.sizeSinceSnapshot, ordinal: l.forbidTruncation(s.Sequence)}, nil
 }
 
-func (l *Log) lastSynced() uint64 {
+// forbidTruncation forbids that the log is truncated to before a snapshot that is about to be written. It returns the ordinal of the last
+// synced frame.
+func (l *Log) forbidTruncation(sequence uint64) (lastSynced uint64) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
+	l.snapshotSequence = sequence
 	return l.syncedOrdinal
 }
 
 // adoptSnapshot makes the saved snapshot the newest one and removes the files that are no longer needed.
-func (l *Log) adoptSnapshot(plan snapshotPlan, s Snapshot) error {
+func (l *Log) adoptSnapshot(plan snapshotPlan) error {
 	l.writeMutex.Lock()
 	defer l.writeMutex.Unlock()
 	if err := l.checkOpen(); err != nil {
 		return err
 	}
-	l.mutex.Lock()
-	l.snapshotSequence = s.Sequence
-	l.mutex.Unlock()
 	f := &l.files
 	f.sizeSinceSnapshot -= plan.size
 	f.snapshots = append(f.snapshots, plan.name)
