Soak: processes whose disks fail, in each operation and with each error

The processes are the test binary of cmd/nickelline, which is the program on a file system that fails as a file says.

--- a/internal/soak/doc.go
+++ b/internal/soak/doc.go
@@ -15,12 +15,16 @@
 //
 // The last one has more failures, fewer backends and more batch jobs, and runs a program that was built before.
 //
+// TestSoakFailingDisks and TestSoakFailingDiskOfTwoStores run a program whose disks fail as the test says: the test binary of
+// cmd/nickelline, which is the program itself with a file system of package faultdisk. The same flags hold for them, with -soak.disks in place of
+// -soak.duration. Their -soak.program has to be a test binary of that kind.
+//
 // Files in reading order:
 //
 //   - soak_test.go: flags and the course of a run
 //   - tier_test.go, process_test.go: the machines, their settings, and the processes on them
 //   - backends_test.go, repeat_test.go: stand-ins that record executions, fail, and send some responses twice
 //   - client_test.go, batch_test.go, operator_test.go: those who use the tier
-//   - faults_test.go: the seeded faults
+//   - faults_test.go, disks_test.go: the seeded faults of processes and of their disks
 //   - verdict_test.go: the checks
 package soak
--- a/internal/soak/process_test.go
+++ b/internal/soak/process_test.go
@@ -11,6 +11,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"nickelline/internal/faultdisk"
 )
 
 const (
@@ -52,6 +54,9 @@
 
 func (p *process) settingsPath() string { return filepath.Join(p.directory, p.name+".toml") }
 
+// faultPath returns the path of the file that says how the process's disk fails, if the program is one that heeds it.
+func (p *process) faultPath() string { return filepath.Join(p.directory, p.name+".fault") }
+
 func (p *process) logPath() string { return filepath.Join(p.directory, p.name+".log") }
 
 // logLength returns the length of the process's log.
@@ -81,7 +86,7 @@
 	fmt.Fprintf(log, "--- start %d at %s\n", p.starts, time.Now().Format(time.RFC3339Nano))
 	p.logStart = p.logLength()
 	p.command = exec.Command(p.program, p.role)
-	p.command.Env = append(os.Environ(), "NICKELLINE_BOOT="+p.settingsPath())
+	p.command.Env = append(os.Environ(), "NICKELLINE_BOOT="+p.settingsPath(), faultdisk.SourceVariable+"="+p.faultPath())
 	p.command.Stdout, p.command.Stderr = log, log
 	p.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := p.command.Start(); err != nil {
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -60,7 +60,9 @@
 	for seed := *firstSeed; seed < *firstSeed+*seeds; seed++ {
 		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
 			record := newRecord()
-			soak(t, program, seed, record)
+			soak(t, program, seed, record, func(ctx context.Context, tier *tier) {
+				newFaults(tier, record, newRandom(seed, "faults")).run(ctx, *duration)
+			})
 			for _, text := range record.processes {
 				misbehaviour = append(misbehaviour, fmt.Sprintf("seed %d: %s", seed, text))
 			}
@@ -86,8 +88,8 @@
 	return path
 }
 
-// soak is one run.
-func soak(t *testing.T, program string, seed uint64, record *record) {
+// soak is one run, in which a function disturbs the tier.
+func soak(t *testing.T, program string, seed uint64, record *record, disturb func(context.Context, *tier)) {
 	directory, err := os.MkdirTemp("", fmt.Sprintf("nickelline-soak-%d-", seed))
 	if err != nil {
 		t.Fatal(err)
@@ -126,7 +128,7 @@
 	defer stopChanges()
 	users.Go(func() { operator.run(ctx, changing) })
 
-	newFaults(tier, record, newRandom(seed, "faults")).run(ctx, *duration)
+	disturb(ctx, tier)
 	stopSubmitting()
 	stopChanges()
 	pause.For(ctx, settleTime)
