--- a/internal/chain/simulation_site_test.go
+++ b/internal/chain/simulation_site_test.go
@@ -142,7 +142,6 @@
 		if err := segment.SaveRecord(s.fileSystem, name, binary.LittleEndian.AppendUint64(nil, identity)); err != nil {
 			return err
 		}
-		s.highestEpoch = 0
 	}
 	replica, created, err := view.LoadIdentity(s.fileSystem, siteDirectory)
 	if err != nil {
@@ -249,6 +248,7 @@
 func (s *site) wipe() {
 	s.disk.Wipe()
 	s.self.Replica = 0
+	s.highestEpoch = 0
 	s.durable = make(map[uint64]uint64)
 	s.durableBase = 0
 }
