A replica is discarded only once its identity is gone

Seen: nothing yet. RemoveFiles ignored all errors of removals, because that of a directory fails.

Cause: a failed removal of the identity file was taken for one of a directory. If the disk failed for a moment while a damaged replica was discarded, the identity stayed and the files of the chains went: the replica would have voted without knowing its promises, and counted as complete without its data.

Mend: a removal may fail only for what can be listed as a directory. The two copies of the code that discards a replica, of stores and of control nodes, are one in package chain. Simulated directories list their subdirectories, as real ones do.

--- a/internal/control/discard.go
+++ b/internal/control/discard.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"path"
 
 	"github.com/ansel1/merry/v2"
 
@@ -17,12 +16,5 @@
 		return err
 	}
 	err = merry.Prepend(err, "replica files are damaged, the next start creates a new replica")
-	return errors.Join(err, discardReplica(c.options.FileSystem, c.options.Settings.DataDirectory))
-}
-
-// discardReplica removes the identity of the replica in a directory, and then its files. The order matters: a replica that has
-// its identity but not its files would vote without knowing its earlier promises, and count as complete without its data.
-func discardReplica(fileSystem segment.FileSystem, directory string) error {
-	chainFiles := path.Join(directory, chainDirectory)
-	return segment.RemoveFiles(fileSystem, directory, path.Join(chainFiles, chain.LogDirectory), chainFiles)
+	return errors.Join(err, chain.DiscardReplica(c.options.FileSystem, c.options.Settings.DataDirectory))
 }
--- a/internal/control/discard_test.go
+++ b/internal/control/discard_test.go
@@ -37,7 +37,7 @@
 			}
 		}
 		disk.LosePowerAfter(operations)
-		finished = discardReplica(fileSystem, discardedDirectory) == nil
+		finished = chain.DiscardReplica(fileSystem, discardedDirectory) == nil
 		disk.LosePower()
 		checkDiscarded(t, disk.Mount(), first, operations)
 	}
--- a/internal/segment/remove.go
+++ b/internal/segment/remove.go
@@ -8,8 +8,8 @@
 	"github.com/ansel1/merry/v2"
 )
 
-// RemoveFiles removes all files in the given directories, but no subdirectories. The removal is durable in one directory before
-// it begins in the next. A directory that does not exist counts as empty.
+// RemoveFiles removes all files in the given directories, but not what is in subdirectories. The removal is complete and durable in one
+// directory before it begins in the next. A directory that does not exist counts as empty.
 func RemoveFiles(fileSystem FileSystem, directories ...string) error {
 	for _, directory := range directories {
 		if err := emptyDirectory(fileSystem, directory); err != nil {
@@ -28,11 +28,25 @@
 		return err
 	}
 	for _, name := range names {
-		_ = fileSystem.Remove(path.Join(directory, name)) // fails for directories
+		if err := removeFile(fileSystem, path.Join(directory, name)); err != nil {
+			return merry.Prependf(err, "remove %s", name)
+		}
 	}
 	return fileSystem.SyncDirectory(directory)
 }
 
+// removeFile removes a file. It leaves a directory that is not empty as it is.
+func removeFile(fileSystem FileSystem, name string) error {
+	err := fileSystem.Remove(name)
+	if err == nil || errors.Is(err, fs.ErrNotExist) {
+		return nil
+	}
+	if _, listErr := fileSystem.List(name); listErr == nil {
+		return nil
+	}
+	return err
+}
+
 // Clear removes the files of a log that is not open. The replica thereby loses data that it acknowledged, and has to take a new
 // identity.
 func Clear(fileSystem FileSystem, directory string) error {
--- a/internal/simnet/mount.go
+++ b/internal/simnet/mount.go
@@ -165,6 +165,11 @@
 			names = append(names, path.Base(name))
 		}
 	}
+	for name := range m.disk.directories {
+		if path.Dir(name) == directory && name != directory {
+			names = append(names, path.Base(name))
+		}
+	}
 	slices.Sort(names)
 	return names, nil
 }
--- a/internal/store/service.go
+++ b/internal/store/service.go
@@ -83,7 +83,8 @@
 	if !errors.Is(err, segment.ErrDamaged) {
 		return err
 	}
-	return errors.Join(merry.Prepend(err, "replica files are damaged, the next start creates a new replica"), s.discardAll())
+	return errors.Join(merry.Prepend(err, "replica files are damaged, the next start creates a new replica"),
+		chain.DiscardReplica(s.options.FileSystem, s.options.Directory))
 }
 
 // partitionOfDirectory returns the number of the partition whose directory has the given name. It returns false if the name is not
