Start: damaged files do not end the process

A process whose replica's files were damaged discarded them, ended with an error and was started again as a new replica. It goes on as one without a restart now. A damaged identity still needs an operator; the process waits for that and says so, where it ended at each start before, which a supervisor takes for a crash loop.

--- a/cmd/nickelline/control.go
+++ b/cmd/nickelline/control.go
@@ -55,6 +55,7 @@
 		Log:           p.log,
 	})
 	if err != nil {
+		n.transport.Close()
 		return nil, err
 	}
 	n.quotas = serveQuotas(n.node, n.control)
--- a/cmd/nickelline/disk.go
+++ b/cmd/nickelline/disk.go
@@ -16,7 +16,7 @@
 // diskFileSystem is the file system of all disks. Tests replace it.
 var diskFileSystem segment.FileSystem = segment.OSFileSystem{}
 
-// diskWait waits during the start of a process for a disk that fails.
+// diskWait waits during the start of a process for a disk that fails, or after files were found to be damaged.
 type diskWait struct {
 	log        *zap.Logger
 	caught     *signals
@@ -28,7 +28,7 @@
 func (w *diskWait) again(failure error) bool {
 	if time.Since(w.loggedAt) >= diskLogInterval {
 		w.loggedAt = time.Now()
-		w.log.Warn("disk failed at the start, trying again", zap.Error(failure))
+		w.log.Warn("start failed, trying again", zap.Error(failure))
 	}
 	timer := time.NewTimer(diskRetryPause)
 	defer timer.Stop()
--- a/cmd/nickelline/role.go
+++ b/cmd/nickelline/role.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"errors"
 
 	"go.uber.org/zap"
+
+	"nickelline/internal/segment"
 )
 
 // roleNode is a node with one of the roles.
@@ -23,7 +26,7 @@
 		return err
 	}
 	wait := &diskWait{log: p.log, caught: caught}
-	n, err := open(p, wait)
+	n, err := openRole(p, wait, open)
 	if wait.terminated {
 		p.log.Info("process was asked to terminate while it waited for its disk", zap.Error(err))
 		return nil
@@ -40,3 +43,14 @@
 	n.shutDown(ctx)
 	return err
 }
+
+// openRole opens the node of a role. If files of its replica are damaged, it is opened again: as a new replica once the damaged one has
+// been discarded, which the role does itself unless its identity is damaged.
+func openRole[N roleNode](p *process, wait *diskWait, open func(*process, *diskWait) (N, error)) (N, error) {
+	for {
+		n, err := open(p, wait)
+		if !errors.Is(err, segment.ErrDamaged) || !wait.again(err) {
+			return n, err
+		}
+	}
+}
--- a/cmd/nickelline/store.go
+++ b/cmd/nickelline/store.go
@@ -54,6 +54,7 @@
 	})
 	n.state.OnBackends(n.sender.SetBackends)
 	if n.store, err = store.New(n.storeOptions()); err != nil {
+		n.transport.Close()
 		return nil, err
 	}
 	return n, nil
