Store: results that cannot be committed bound what is sent

Read while looking for other ways to a fault while a disk fails: the head of a partition goes on running items while its disk, or the only other store's, fails, since being head needs no disk. Their results are kept in memory until they can be committed, without a bound.

From 4 MiB of pending contents of a partition on no further item is sent until some are committed.

Without it: TestNothingIsSentWhileResultsCannotBeCommitted times out waiting for the schedule to be suspended.

--- a/internal/store/appender.go
+++ b/internal/store/appender.go
@@ -18,6 +18,9 @@
 	maxAppendBytes = 1 << 20
 	// appendRetryPause is the pause after a failed append.
 	appendRetryPause = 100 * time.Millisecond
+	// maxPendingBytes is the total size of pending contents from which no further item is sent: a disk that fails, or a chain that is not
+	// connected, must not use up the memory.
+	maxPendingBytes = 4 << 20
 )
 
 // appender commits results, checkpoints and failures in batches: those added within a window, or while an append is in progress, are
@@ -35,6 +38,7 @@
 	log       *zap.Logger
 	mutex     sync.Mutex
 	pending   []batch.Result
+	bytes     int // total size of the contents that are pending or being appended
 	failures  []batch.Failure
 	recorded  chan struct{} // closed once the failures are committed
 	working   bool          // the goroutine is running
@@ -50,9 +54,26 @@
 		return
 	}
 	a.pending = append(a.pending, r)
+	a.bytes += len(r.Content)
 	a.start(ctx)
 }
 
+// isBehind reports whether so much is to be committed that no further items should be sent.
+func (a *appender) isBehind() bool {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	return a.bytes >= maxPendingBytes
+}
+
+// appended records that the contents of results are no longer pending.
+func (a *appender) appended(results []batch.Result) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	for i := range results {
+		a.bytes -= len(results[i].Content)
+	}
+}
+
 // recordFailure commits a failure, and reports whether it is committed. It waits for that until the context ends.
 func (a *appender) recordFailure(ctx context.Context, f batch.Failure) bool {
 	recorded := a.addFailure(ctx, f)
@@ -129,6 +150,7 @@
 func (a *appender) commit(ctx context.Context, b appendBatch) {
 	if len(b.results) > 0 {
 		a.append(ctx, &batch.Command{Append: b.results})
+		a.appended(b.results)
 	}
 	if len(b.failures) > 0 && a.append(ctx, &batch.Command{Fail: b.failures}) {
 		close(b.recorded)
--- a/internal/store/dispatch.go
+++ b/internal/store/dispatch.go
@@ -18,7 +18,7 @@
 		return
 	}
 	current, proven := r.config.configuration()
-	if !proven || !r.mayActAsHead(ctx) {
+	if !proven || r.appender.isBehind() || !r.mayActAsHead(ctx) {
 		r.suspend(time.Now().Add(unconfirmedPause))
 		return
 	}
--- a/internal/store/dispatch_test.go
+++ b/internal/store/dispatch_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"nickelline/internal/batch"
 	"nickelline/internal/store/scheduler"
 )
 
@@ -70,6 +71,23 @@
 	f.results(job.Key, 3)
 }
 
+// TestNothingIsSentWhileResultsCannotBeCommitted guards against memory that is used up by results while the disk fails: items went on to
+// run, as being head needs no disk, and their results waited.
+func TestNothingIsSentWhileResultsCannotBeCommitted(t *testing.T) {
+	f := newFixture(t, 1)
+	f.start()
+	pending := []batch.Result{{Content: make([]byte, maxPendingBytes)}}
+	f.runner.appender.mutex.Lock()
+	f.runner.appender.bytes += len(pending[0].Content)
+	f.runner.appender.mutex.Unlock()
+	job := testJob(testKey(1), 3, 2)
+	f.submit(job)
+	f.awaitSuspended(3)
+	checkRequests(t, f.backends[0], 0)
+	f.runner.appender.appended(pending)
+	f.results(job.Key, 3)
+}
+
 func TestItemsOfARemovedRouteAreAbandoned(t *testing.T) {
 	f := newFixture(t, 1)
 	removed := configurationWithoutBatch(t)
