A process that was asked to terminate ends within its grace period

Closing a node waits for the operations of its disk under way, so that a process whose disk hangs ran on for as long as it hung, past gracePeriodS. After 0.95 of the grace period the process logs the stacks of its goroutines now, which tell what it waits for, and ends with code 1.

--- a/cmd/nickelline/role.go
+++ b/cmd/nickelline/role.go
@@ -25,6 +25,7 @@
 	if err != nil {
 		return err
 	}
+	p.endInTime()
 	wait := &diskWait{log: p.log, caught: caught}
 	n, err := openRole(p, wait, open)
 	if wait.terminated {
