A damaged log costs a store the data of one partition, not of all

A replica whose log is damaged keeps its identity and its record now, and the record says in which epoch the log was lost: a member that joined by then is not complete because it was so before. Members of a first view were taken for complete by their place in it alone; with an empty log such a replica would have counted as having all that was committed. It becomes complete by catching up, as one that has just joined does: as the tail or in the middle at once, as the head after the next view, in which the placement puts complete members first. The loss counts like that of a disk until then. Only if the record is damaged too the whole replica is discarded, since nothing tells what it has acknowledged. Control replicas still discard themselves: they have votes.

The stored record has a field more; records of earlier versions are read as before.

--- a/internal/chain/chainwire/chain.capnp
+++ b/internal/chain/chainwire/chain.capnp
@@ -95,6 +95,7 @@
   view @0 :Data;
   completeEpoch @1 :UInt64;
   generation @2 :UInt64;
+  lostEpoch @3 :UInt64;
 }
 
 struct ProposeRequest {
--- a/internal/chain/golden_test.go
+++ b/internal/chain/golden_test.go
@@ -257,7 +257,7 @@
 
 func TestGoldenRecordFile(t *testing.T) {
 	n := goldenNode(t)
-	want := Record{View: goldenView(), CompleteEpoch: 0xe1, Generation: 0xe2}
+	want := Record{View: goldenView(), CompleteEpoch: 0xe1, Generation: 0xe2, LostEpoch: 0xe3}
 	if err := (&diskWriter{node: n}).saveRecord(want); err != nil {
 		t.Fatalf("save: %v", err)
 	}
--- a/internal/chain/install_view.go
+++ b/internal/chain/install_view.go
@@ -40,7 +40,7 @@
 	formerTerm := r.term
 	r.term = r.termIn(v)
 	r.view = v
-	if member, ok := v.Member(r.self.Replica); ok && member.Joined <= 1 {
+	if member, ok := v.Member(r.self.Replica); ok && member.Joined <= 1 && r.lostEpoch == 0 {
 		r.completeEpoch = max(r.completeEpoch, 1)
 	}
 	r.successor = nil
@@ -56,7 +56,12 @@
 // record returns the record to store with a view. While a view is being installed, callers pass that view so that no
 // record replaces it with an older one.
 func (r *Replica) record(v view.View) *Record {
-	return &Record{View: v.Clone(), CompleteEpoch: max(r.completeEpoch, r.submittedCompleteEpoch), Generation: r.generation}
+	return &Record{
+		View:          v.Clone(),
+		CompleteEpoch: max(r.completeEpoch, r.submittedCompleteEpoch),
+		Generation:    r.generation,
+		LostEpoch:     r.lostEpoch,
+	}
 }
 
 // newestView returns the view that the record on disk holds, or will hold once it is written.
--- a/internal/chain/output.go
+++ b/internal/chain/output.go
@@ -42,6 +42,9 @@
 	View          view.View // newest view that was installed
 	CompleteEpoch uint64    // latest epoch in which the replica was complete
 	Generation    uint64    // how often the replica was started
+	// LostEpoch is the epoch of the view in force when the log was lost, 0 if it never was. A member that joined by then is not complete
+	// because it was so before: it has to become so again.
+	LostEpoch uint64
 }
 
 // ApplyOperation changes the replicated state. Exactly one of its fields is set.
--- a/internal/chain/record_codec.go
+++ b/internal/chain/record_codec.go
@@ -11,6 +11,7 @@
 	return capnpcodec.Marshal(0, chainwire.NewRootRecord, func(w chainwire.Record) error {
 		w.SetCompleteEpoch(record.CompleteEpoch)
 		w.SetGeneration(record.Generation)
+		w.SetLostEpoch(record.LostEpoch)
 		data, err := view.Encode(record.View)
 		if err != nil {
 			return err
@@ -30,5 +31,5 @@
 		return Record{}, err
 	}
 	v, err := view.Decode(encoded)
-	return Record{View: v, CompleteEpoch: r.CompleteEpoch(), Generation: r.Generation()}, err
+	return Record{View: v, CompleteEpoch: r.CompleteEpoch(), Generation: r.Generation(), LostEpoch: r.LostEpoch()}, err
 }
--- a/internal/chain/replica.go
+++ b/internal/chain/replica.go
@@ -23,6 +23,7 @@
 	installing             *view.View // newer view that is being written to disk, nil if there is none
 	completeEpoch          uint64     // latest epoch in which the replica was complete, 0 if it never was
 	submittedCompleteEpoch uint64     // epoch of the last record of completeness passed to the disk, 0 if there was none
+	lostEpoch              uint64     // Record.LostEpoch
 
 	history   *history
 	synced    uint64 // the log is on this replica's disk up to this sequence
@@ -59,6 +60,7 @@
 		generation:      recovered.Record.Generation + 1,
 		limits:          defaultLimits(),
 		completeEpoch:   recovered.Record.CompleteEpoch,
+		lostEpoch:       recovered.Record.LostEpoch,
 		history:         newHistory(base, recovered.Entries),
 		committed:       base.Sequence,
 		learners:        make(map[view.ReplicaID]*link),
--- a/internal/chain/simulation_disk_losses_test.go
+++ b/internal/chain/simulation_disk_losses_test.go
@@ -93,6 +93,27 @@
 	s.wipe(site, downtime)
 }
 
+// loseLog stops a site whose log is damaged, if the chain has to tolerate the loss of a disk, and starts it again without the log.
+// Only an authority decides on chains whose replicas lose logs alone: their replicas have no votes, which would be lost.
+func (s *simulation) loseLog(site *site, duration time.Duration) {
+	if !s.authority || site.log == nil || !s.network.Up(site.address) || !s.mayLoseDisk() {
+		return
+	}
+	s.logf("log lost %d", site.index)
+	s.losses.total++
+	s.losses.unrepaired++
+	site.stop(s.random.IntN(2) == 0)
+	site.disk.FailOneIn(0)
+	site.check(LoseLog(site.disk.Mount(), siteDirectory))
+	clear(site.durable)
+	site.durableBase = 0
+	s.after(duration, func() {
+		if !s.network.Up(site.address) {
+			site.start(false)
+		}
+	})
+}
+
 // wipe stops a site, wipes its disk and starts it again after a time.
 func (s *simulation) wipe(site *site, downtime time.Duration) {
 	s.wipeAndThen(site, downtime, func() {})
--- a/internal/chain/simulation_histories_test.go
+++ b/internal/chain/simulation_histories_test.go
@@ -32,6 +32,25 @@
 
 func TestSeededHistories(t *testing.T) { runHistories(t, newSimulation) }
 
+// TestSeededHistoriesOfLostLogs guards against a replica that counts as complete after its log was damaged, as it did before: besides the
+// faults of the other histories, replicas lose their logs and keep their identity.
+func TestSeededHistoriesOfLostLogs(t *testing.T) {
+	runHistories(t, func(t *testing.T, seed uint64) *simulation {
+		s := newSimulation(t, seed)
+		s.authority, s.careful, s.policy.Voters = true, true, 0 // as the placement of stores is
+		s.planFaults = func() {
+			s.planRandomFaults()
+			for range 3 + s.random.IntN(12) {
+				at := s.network.Now() + time.Duration(s.random.Int64N(int64(s.duration)))
+				s.network.At(at, func() {
+					s.loseLog(s.sites[s.random.IntN(len(s.sites))], time.Duration(s.random.IntN(2000))*time.Millisecond)
+				})
+			}
+		}
+		return s
+	})
+}
+
 // TestSeededHistoriesOfFailingDisks guards against entries that are acknowledged and not on the disk, because an operation of it has
 // failed, and against replicas that end: besides the faults of the other histories, operations of the disks fail at random, with random
 // errors, done or not done, amid kills and losses of power.
--- a/internal/store/discard_test.go
+++ b/internal/store/discard_test.go
@@ -13,7 +13,45 @@
 	"nickelline/internal/view"
 )
 
-func TestDamagedReplicaLosesItsIdentity(t *testing.T) {
+// TestDamagedLogCostsOnlyItsPartition guards against a store that discards all of its partitions because the log of one is damaged, and
+// against a replica without its log that counts as having it: the store keeps its identity, and gets the data of that partition again,
+// as the tail at once, as the former head after a change of the view.
+func TestDamagedLogCostsOnlyItsPartition(t *testing.T) {
+	for name, damaged := range map[string]int{"head": 0, "tail": 1} {
+		t.Run(name, func(t *testing.T) {
+			c := newCluster(t, 2)
+			c.place(1, []int{0, 1}, nil)
+			job := testJob(testKey(1), 10, 3)
+			c.submit(job)
+			before := c.results(job)
+			c.close(damaged)
+			directory := filepath.Join(c.stores[damaged].directory, "store")
+			damage(t, filepath.Join(directory, partitionDirectoryPrefix+"1", chain.LogDirectory))
+			c.open(damaged, c.stores[damaged].self.Address)
+			c.stores[damaged].service.SetPlacement(c.table.Load())
+			service := c.stores[damaged].service
+			if damaged == 0 {
+				if status := service.partitions[1].node.Status(); status.Complete || status.Ready {
+					t.Fatalf("head that has lost its log: got %+v, want neither complete nor ready", status)
+				}
+				c.place(2, []int{1, 0}, nil)
+			}
+			c.checkUnchanged(job, before)
+			next := testJob(testKey(2), 10, 3) // needs both
+			c.submit(next)
+			c.checkCompleted(c.results(next), 3)
+			if status := service.partitions[1].node.Status(); !status.Complete {
+				t.Errorf("replica that has got its data again: got %+v, want it complete", status)
+			}
+			c.close(1 - damaged)
+			c.place(4, []int{damaged}, nil)
+			c.checkUnchanged(job, before)
+		})
+	}
+}
+
+// TestReplicaWithADamagedRecordLosesItsIdentity damages the record of a partition, which tells what the replica has acknowledged.
+func TestReplicaWithADamagedRecordLosesItsIdentity(t *testing.T) {
 	c := newCluster(t, 2)
 	c.place(1, []int{0, 1}, nil)
 	job := testJob(testKey(1), 10, 3)
@@ -26,6 +64,7 @@
 		t.Fatal(err)
 	}
 	damage(t, filepath.Join(directory, partitionDirectoryPrefix+"1", chain.LogDirectory))
+	damageFile(t, filepath.Join(directory, partitionDirectoryPrefix+"1", "record"))
 	if err := c.tryOpen(0, c.stores[0].self.Address); !errors.Is(err, segment.ErrDamaged) {
 		t.Fatalf("start with a damaged log: got %v, want %v", err, segment.ErrDamaged)
 	}
@@ -47,14 +86,20 @@
 		t.Fatalf("segments to damage: got %d, want at least 1: %v", len(files), err)
 	}
 	for _, file := range files {
-		data, err := os.ReadFile(file)
-		if err != nil {
-			t.Fatal(err)
-		}
-		data[len(data)/4] ^= 0xff
-		if err := os.WriteFile(file, data, 0o644); err != nil {
-			t.Fatal(err)
-		}
+		damageFile(t, file)
+	}
+}
+
+// damageFile changes a byte in the first half of a file.
+func damageFile(t *testing.T, file string) {
+	t.Helper()
+	data, err := os.ReadFile(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	data[len(data)/4] ^= 0xff
+	if err := os.WriteFile(file, data, 0o644); err != nil {
+		t.Fatal(err)
 	}
 }
 
--- a/internal/store/service.go
+++ b/internal/store/service.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/ansel1/merry/v2"
+	"go.uber.org/zap"
 
 	"nickelline/internal/chain"
 	"nickelline/internal/placement"
@@ -53,8 +54,10 @@
 }
 
 // New opens the partitions in the directory, and registers the handlers with the transport, which must not have been started. Those that
-// cannot be opened, because the disk fails, are opened later by Run. If a log is damaged, the replica is lost: its identity and its files
-// are removed, the error wraps segment.ErrDamaged, and the next start creates a new replica.
+// cannot be opened, because the disk fails, are opened later by Run. If the log of a partition is damaged, the store has lost the data of
+// that partition, and gets it again from the other stores. If the record beside the log is damaged too, nothing is known of what the
+// store has acknowledged: its identity and all of its files are removed, the error wraps segment.ErrDamaged, and the next start
+// creates a new replica.
 func New(options Options) (*Service, error) {
 	settlement := durationOr(settings.Milliseconds(options.Bounds.SettlementMs), defaultSettlement)
 	s := &Service{
@@ -78,7 +81,7 @@
 	return s, nil
 }
 
-// openFailed returns the error with which New fails. If a log is damaged, openFailed discards the replica.
+// openFailed returns the error with which New fails. If the record of a partition is damaged, openFailed discards the replica.
 func (s *Service) openFailed(err error) error {
 	if !errors.Is(err, segment.ErrDamaged) {
 		return err
@@ -125,6 +128,18 @@
 	if err := finishRemoval(s.options.FileSystem, s.logOf(number)); err != nil {
 		return nil, err
 	}
+	hosted, err := s.openReplica(number)
+	if !errors.Is(err, segment.ErrDamaged) {
+		return hosted, err
+	}
+	s.options.Log.Error("log of a partition is damaged and is lost", zap.Uint32("partition", number), zap.Error(err))
+	if err := chain.LoseLog(s.options.FileSystem, s.directoryOf(number)); err != nil {
+		return nil, err
+	}
+	return s.openReplica(number)
+}
+
+func (s *Service) openReplica(number uint32) (*hostedPartition, error) {
 	hosted := newHostedPartition(s, number)
 	node, err := chain.Open(chain.Options{
 		Chain:           number,
