Soak: stores whose logs are damaged, one after the other

Each of three stores is killed, a byte of each of its partitions' logs is changed, and it is started again. All results have to be read at the end, when no log is the original one.

--- a/internal/soak/disks_test.go
+++ b/internal/soak/disks_test.go
@@ -197,3 +197,41 @@
 	t.Errorf("%s is not retired after %v: %v", p.name, retireTimeout, err)
 	return false
 }
+
+// repairTime is how long a store has to get its data again before another one loses its own: catchUpS and some time for a busy machine.
+const repairTime = 8 * time.Second
+
+// TestSoakDamagedLogs guards against a store process that ends, or loses more than the data of the partition, because a log is damaged when it
+// starts. The stores lose their logs one after the other, so that all results have to be from a copy that was made after a loss.
+func TestSoakDamagedLogs(t *testing.T) {
+	runFailingDisks(t, func(ctx context.Context, tier *tier, random *rand.Rand) {
+		pause.For(ctx, repairTime) // until all stores have jobs
+		for _, p := range tier.ofRole(roleStore) {
+			pause.For(ctx, between(random, 0, repairTime/4))
+			p.kill()
+			p.awaitEnd(gracePeriod)
+			p.damageLogs(random)
+			p.start()
+			pause.For(ctx, repairTime)
+		}
+	})
+}
+
+// damageLogs changes a byte in the first half of each log of the process's partitions, which does not run. At the end of a log damage cannot
+// be told from a write that a loss of power has cut short.
+func (p *process) damageLogs(random *rand.Rand) {
+	segments, err := filepath.Glob(filepath.Join(p.directory, p.name+"-data", "partition-*", "log", "*.segment"))
+	if err != nil || len(segments) == 0 {
+		p.t.Errorf("segments of %s: got %d, %v, want some", p.name, len(segments), err)
+	}
+	for _, name := range segments {
+		data, err := os.ReadFile(name)
+		if err != nil || len(data) == 0 {
+			continue
+		}
+		data[random.IntN(1+len(data)/2)] ^= 0xff
+		if err := os.WriteFile(name, data, 0o600); err != nil {
+			p.t.Error(err)
+		}
+	}
+}
