Chain: a replica that is back in the view is not dropped by what was found out in a former one

Cause: the answers to probes are forgotten at the first probe in a new view, up to 0.3 s after it came into force. Until then the neighbours judged by the answers of the view in which they probed last. If the view without the replica lasted shorter than that, it had not answered "for 1.2 s", and was dropped at once.

Mend: the verdict holds for the epoch of the probes only. Without it TestVerdictOfAFormerViewDoesNotCount fails: "unresponsive in a view in which it was not probed: got true, want false".

--- a/internal/chain/candidates.go
+++ b/internal/chain/candidates.go
@@ -24,7 +24,7 @@
 	defer r.mutex.Unlock()
 	for _, voter := range v.Voters {
 		if !slices.ContainsFunc(candidates, func(c view.Candidate) bool { return c.Replica == voter.Replica }) {
-			candidates = append(candidates, r.memberCandidateLocked(voter))
+			candidates = append(candidates, r.memberCandidateLocked(v.Epoch, voter))
 		}
 	}
 	return candidates
@@ -36,14 +36,14 @@
 	defer r.mutex.Unlock()
 	candidates := make([]view.Candidate, 0, len(v.Members))
 	for _, member := range v.Members {
-		candidates = append(candidates, r.memberCandidateLocked(member))
+		candidates = append(candidates, r.memberCandidateLocked(v.Epoch, member))
 	}
 	return candidates
 }
 
-// memberCandidateLocked returns what is known about one member. The member has lost its disk if a reachable candidate has
+// memberCandidateLocked returns what is known about one member of the view of an epoch. The member has lost its disk if a reachable candidate has
 // the member's address and another replica identity. The mutex is held.
-func (r *Reconfigurer) memberCandidateLocked(member view.Member) view.Candidate {
+func (r *Reconfigurer) memberCandidateLocked(epoch uint64, member view.Member) view.Candidate {
 	if member.Replica == r.self().Replica {
 		return view.Candidate{Member: member, Reachable: true, Leaving: r.leaving}
 	}
@@ -51,7 +51,7 @@
 	if i >= 0 {
 		delete(r.unlisted, member.Replica)
 		candidate := r.candidates[i]
-		reachable := candidate.Reachable && !r.probes.unresponsive(r.now(), member.Replica)
+		reachable := candidate.Reachable && !r.probes.unresponsive(r.now(), epoch, member.Replica)
 		return view.Candidate{Member: member, Reachable: reachable, Leaving: candidate.Leaving}
 	}
 	replaced := slices.ContainsFunc(r.candidates, func(c view.Candidate) bool {
--- a/internal/chain/neighbour_probes.go
+++ b/internal/chain/neighbour_probes.go
@@ -68,12 +68,13 @@
 	}
 }
 
-// unresponsive reports whether a neighbour has not answered for unresponsiveTimeout although it was probed.
-func (n *neighbourProbes) unresponsive(now time.Duration, replica view.ReplicaID) bool {
+// unresponsive reports whether a neighbour in the view of an epoch has not answered for unresponsiveTimeout although it was probed. What
+// was found out in another epoch says nothing: a replica that was dropped and is back in the view would be dropped again at once.
+func (n *neighbourProbes) unresponsive(now time.Duration, epoch uint64, replica view.ReplicaID) bool {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
 	lastAnswer, watched := n.lastAnswer[replica]
-	return watched && now-lastAnswer > unresponsiveTimeout && now-n.lastProbe <= 2*probeInterval
+	return watched && epoch == n.epoch && now-lastAnswer > unresponsiveTimeout && now-n.lastProbe <= 2*probeInterval
 }
 
 // probeNeighbours probes the neighbours of this replica every probeInterval until ctx ends.
@@ -84,9 +85,10 @@
 // probeNeighboursOnce sends a probe to each neighbour, and wakes the reconfigurer if one does not answer.
 func (r *Reconfigurer) probeNeighboursOnce(ctx context.Context) {
 	unresponsive := false
-	for _, m := range r.probes.beginProbe(r.now(), r.node.View(), r.self().Replica) {
+	v := r.node.View()
+	for _, m := range r.probes.beginProbe(r.now(), v, r.self().Replica) {
 		go r.probeNeighbour(ctx, m)
-		unresponsive = unresponsive || r.probes.unresponsive(r.now(), m.Replica)
+		unresponsive = unresponsive || r.probes.unresponsive(r.now(), v.Epoch, m.Replica)
 	}
 	if unresponsive {
 		notify(r.wake)
--- a/internal/chain/neighbour_probes_test.go
+++ b/internal/chain/neighbour_probes_test.go
@@ -59,18 +59,18 @@
 	v := ring(1, 1, 2, 3)
 	n.run(v, 0, 3*time.Second, map[view.ReplicaID]bool{2: true, 3: true})
 	n.run(v, 3300*time.Millisecond, 4200*time.Millisecond, map[view.ReplicaID]bool{2: true})
-	if n.unresponsive(4200*time.Millisecond, 3) {
+	if n.unresponsive(4200*time.Millisecond, 1, 3) {
 		t.Error("unresponsive before the timeout: got true, want false")
 	}
 	n.run(v, 4500*time.Millisecond, 4800*time.Millisecond, map[view.ReplicaID]bool{2: true})
-	if !n.unresponsive(4800*time.Millisecond, 3) {
+	if !n.unresponsive(4800*time.Millisecond, 1, 3) {
 		t.Error("unresponsive after the timeout: got false, want true")
 	}
-	if n.unresponsive(4800*time.Millisecond, 2) {
+	if n.unresponsive(4800*time.Millisecond, 1, 2) {
 		t.Error("unresponsive though it answers: got true, want false")
 	}
 	n.answered(4900*time.Millisecond, 3)
-	if n.unresponsive(4900*time.Millisecond, 3) {
+	if n.unresponsive(4900*time.Millisecond, 1, 3) {
 		t.Error("unresponsive after it answered: got true, want false")
 	}
 }
@@ -81,23 +81,36 @@
 	var n neighbourProbes
 	v := ring(1, 1, 2, 3)
 	n.run(v, 0, time.Second, map[view.ReplicaID]bool{2: true, 3: true})
-	if n.unresponsive(5*time.Second, 3) {
+	if n.unresponsive(5*time.Second, 1, 3) {
 		t.Error("unresponsive after a pause, before a probe: got true, want false")
 	}
 	n.beginProbe(5*time.Second, v, 1)
-	if n.unresponsive(5*time.Second, 3) {
+	if n.unresponsive(5*time.Second, 1, 3) {
 		t.Error("unresponsive right after a pause of the own process: got true, want false")
 	}
 	n.run(v, 5*time.Second, 7*time.Second, nil)
-	if !n.unresponsive(7*time.Second, 3) {
+	if !n.unresponsive(7*time.Second, 1, 3) {
 		t.Fatal("unresponsive after two seconds without an answer: got false, want true")
 	}
 	n.beginProbe(7*time.Second, ring(2, 1, 3), 1)
-	if n.unresponsive(7*time.Second, 3) {
+	if n.unresponsive(7*time.Second, 2, 3) {
 		t.Error("unresponsive right after a new view: got true, want false")
 	}
 }
 
+// TestVerdictOfAFormerViewDoesNotCount guards against a replica that is dropped again right after it was taken back into the view: it did
+// not answer in the view before, and the neighbours have not been probed in the new one yet.
+func TestVerdictOfAFormerViewDoesNotCount(t *testing.T) {
+	var n neighbourProbes
+	n.run(ring(1, 1, 2, 3), 0, 2*time.Second, map[view.ReplicaID]bool{2: true})
+	if !n.unresponsive(2*time.Second, 1, 3) {
+		t.Fatal("unresponsive after two seconds without an answer: got false, want true")
+	}
+	if n.unresponsive(2*time.Second, 3, 3) {
+		t.Error("unresponsive in a view in which it was not probed: got true, want false")
+	}
+}
+
 // TestPlanWithoutUnresponsiveNeighbour checks that the next view is planned without a neighbour that does not answer
 // here, though the table of members shows it as reachable.
 func TestPlanWithoutUnresponsiveNeighbour(t *testing.T) {
