--- a/internal/soak/disks_test.go
+++ b/internal/soak/disks_test.go
@@ -17,6 +17,8 @@
 	"nickelline/internal/pause"
 )
 
+var soloDiskFault = flag.Duration("soak.solofault", time.Second, "how long a disk of one of two stores fails")
+
 var diskDuration = flag.Duration("soak.disks", 15*time.Second, "how long disks fail in a run with failing disks")
 
 const (
@@ -24,7 +26,6 @@
 	minDiskFault     = 100 * time.Millisecond
 	maxDiskFault     = 2500 * time.Millisecond
 	maxDiskDelay     = 800 * time.Millisecond
-	soloDiskFault    = time.Second             // how long one of two stores has a failing disk
 	soloDiskPause    = 2500 * time.Millisecond // between the ends of two such faults
 	partitions       = 16
 	retireTimeout    = 30 * time.Second
@@ -91,7 +92,7 @@
 			if random.IntN(100) < allOperationsPct {
 				operations = faultdisk.Changes
 			}
-			p.failDisk(ctx, &faultdisk.Fault{Operations: operations, Errno: faultdisk.Errors[random.IntN(len(faultdisk.Errors))]}, soloDiskFault)
+			p.failDisk(ctx, &faultdisk.Fault{Operations: operations, Errno: faultdisk.Errors[random.IntN(len(faultdisk.Errors))]}, *soloDiskFault)
 			pause.For(ctx, soloDiskPause)
 		}
 	})
--- a/internal/soak/doc.go
+++ b/internal/soak/doc.go
@@ -25,6 +25,7 @@
 //   - tier_test.go, process_test.go: the machines, their settings, and the processes on them
 //   - backends_test.go, repeat_test.go: stand-ins that record executions, fail, and send some responses twice
 //   - client_test.go, batch_test.go, operator_test.go: those who use the tier
+//   - memory_test.go: the memory of the processes
 //   - faults_test.go, disks_test.go: the seeded faults of processes and of their disks
 //   - verdict_test.go: the checks
 package soak
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -114,6 +114,9 @@
 		return
 	}
 	tier.awaitServing(ctx, t)
+	watching, stopWatching := context.WithCancel(ctx)
+	mostMemory := make(chan int, 1)
+	go func() { mostMemory <- tier.watchMemory(watching) }()
 
 	var users sync.WaitGroup
 	for i := range *clients {
@@ -136,6 +139,8 @@
 	verdict.checkServing(ctx)
 	verdict.checkConfiguration(ctx, operator)
 	submitter.finish(ctx, settleTimeout)
+	stopWatching()
+	t.Logf("%d MB of memory used at most by a process", <-mostMemory)
 	cancel()
 	users.Wait()
 	tier.terminateAll()
