Chain: replicas with slow disks agree on a view

Cause: proposers that duel. An attempt takes two records on three disks, some 0.8 s at 100 ms a sync, and an attempt that another proposer has beaten was made again after 50 to 250 ms. Each of three seeds beat the others before any attempt came to its end.

Mend: after an attempt that was beaten the delay is drawn from four times what that attempt took, 0.2 s at least as before. Attempts that fail for want of answers are tried again as before.

--- a/internal/chain/cluster_test.go
+++ b/internal/chain/cluster_test.go
@@ -76,6 +76,11 @@
 }
 
 func newClusterOf(t testing.TB, seeds, all int, policy view.Policy) *cluster {
+	return newClusterWith(t, seeds, all, policy, nil)
+}
+
+// newClusterWith returns a cluster whose disks have a fault from the start.
+func newClusterWith(t testing.TB, seeds, all int, policy view.Policy, fault *faultdisk.Fault) *cluster {
 	c := &cluster{t: t, policy: policy}
 	transports := make([]*peer.Transport, all)
 	for i := range transports {
@@ -86,6 +91,7 @@
 	}
 	for i := range transports {
 		m := &member{directory: t.TempDir(), disk: faultdisk.New(segment.OSFileSystem{})}
+		m.disk.Set(fault)
 		c.members = append(c.members, m)
 		c.open(m, transports[i], i < seeds)
 	}
--- a/internal/chain/propose_view.go
+++ b/internal/chain/propose_view.go
@@ -29,9 +29,17 @@
 	failed       map[netip.AddrPort]bool // acceptors that cannot be reached
 }
 
-// propose makes one attempt to have a view decided, and gives up once fewer acceptors than needed can answer. It reports
-// whether a view was decided.
-func (r *Reconfigurer) propose(ctx context.Context, options view.ProposerOptions, needed int) bool {
+// attemptOutcome is how an attempt to have a view decided has ended.
+type attemptOutcome uint8
+
+const (
+	attemptFailed attemptOutcome = iota // for want of answers, or there was no view to propose
+	attemptBeaten                       // an acceptor has promised a higher number to another proposer
+	attemptDecided
+)
+
+// propose makes one attempt to have a view decided, and gives up once fewer acceptors than needed can answer.
+func (r *Reconfigurer) propose(ctx context.Context, options view.ProposerOptions, needed int) attemptOutcome {
 	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
 	defer cancel()
 	proposer := view.NewProposer(options)
@@ -46,8 +54,8 @@
 	return attempt.run(ctx)
 }
 
-// run sends both phases of the proposal, and reports whether a view was decided.
-func (a *viewAttempt) run(ctx context.Context) bool {
+// run sends both phases of the proposal.
+func (a *viewAttempt) run(ctx context.Context) attemptOutcome {
 	r := a.reconfigurer
 	prepare := a.proposer.Prepare()
 	r.callAll(ctx, a.proposer.Recipients(), agreementRequest{prepare: &prepare}, a.results)
@@ -56,17 +64,17 @@
 	for {
 		select {
 		case <-ctx.Done():
-			return false
+			return attemptFailed
 		case result := <-a.results:
 			a.handle(result)
 			if a.cannotSucceed(result) {
-				return false
+				return attemptFailed
 			}
 		case <-timer.C:
 			a.proposer.Tick(r.now())
 		}
-		if decided, over := a.advance(ctx); over {
-			return decided
+		if outcome, over := a.advance(ctx); over {
+			return outcome
 		}
 		if deadline, ok := a.proposer.Deadline(); ok {
 			timer.Reset(max(0, deadline-r.now()))
@@ -97,20 +105,23 @@
 
 // advance broadcasts a view that was decided, begins the second phase once the first is done, and reports whether the
 // attempt is over.
-func (a *viewAttempt) advance(ctx context.Context) (decided, over bool) {
+func (a *viewAttempt) advance(ctx context.Context) (outcome attemptOutcome, over bool) {
 	r := a.reconfigurer
 	if v, ok := a.proposer.Decided(); ok {
 		r.broadcastView(v)
-		return true, true
+		return attemptDecided, true
 	}
 	if refused, abandoned := a.proposer.Abandoned(); abandoned {
 		r.highestRound = refused.Round
-		return false, true
+		if refused.Round > 0 {
+			return attemptBeaten, true
+		}
+		return attemptFailed, true
 	}
 	if accept, ok := a.proposer.TakeAccept(); ok {
 		r.callAll(ctx, a.options.Acceptors, agreementRequest{accept: &accept}, a.results)
 	}
-	return false, false
+	return attemptFailed, false
 }
 
 // callAll sends a request to acceptors and non-voters. This replica answers first if it is one of them: its answer is on
--- a/internal/chain/reconfigurer.go
+++ b/internal/chain/reconfigurer.go
@@ -18,7 +18,8 @@
 	attemptTimeout  = 1500 * time.Millisecond
 	callTimeout     = time.Second
 	retryMinimum    = 50 * time.Millisecond   // until the next attempt after one that failed
-	retrySpread     = 200 * time.Millisecond  // of the random delay added to retryMinimum
+	retrySpread     = 200 * time.Millisecond  // of the random delay added to retryMinimum, at least
+	duelSpread      = 4                       // the same after an attempt that another proposer has beaten, in durations of that attempt
 	firstViewWait   = 500 * time.Millisecond  // for the answers of seeds beyond a majority
 	firstStartWait  = 2 * time.Second         // during which all seeds have to answer, and not only a majority
 	discoveryPeriod = 300 * time.Millisecond  // between the requests of a replica that knows no view
@@ -171,10 +172,17 @@
 	return r.attempt(ctx, options, majorityOf(options))
 }
 
-// attempt tries to have a view decided, and returns the time until the next attempt, 0 if a view was decided.
+// attempt tries to have a view decided, and returns the time until the next attempt, 0 if a view was decided. After an attempt that
+// another proposer has beaten the delay is drawn from a multiple of what the attempt took: if several replicas that take long, for
+// example because their disks are slow, tried again sooner, each would beat the others before any of them came to its end.
 func (r *Reconfigurer) attempt(ctx context.Context, options view.ProposerOptions, needed int) time.Duration {
-	if r.propose(ctx, options, needed) {
+	began := time.Now()
+	switch r.propose(ctx, options, needed) {
+	case attemptDecided:
 		return 0
+	case attemptBeaten:
+		return retryMinimum + rand.N(max(retrySpread, duelSpread*time.Since(began)))
+	case attemptFailed:
 	}
 	return retryMinimum + rand.N(retrySpread)
 }
