Responses: a head with a malformed line is no response

A 503 with such a line and Nickelline-Not-Executed counted as not executed, so a request that may not be repeated went to a second backend. Items of batch jobs were completed with such texts, and abandoned by such 422 and 500. Malformed interim (1xx) heads were skipped.

Cause: http.ReadResponse refuses control bytes in names, but lets blanks pass, and joins folded lines; what it returned was believed.

Change: package responsehead checks each line of a head as it is read, below the parser, which never gets the end of a malformed head. So nothing in one is believed on any path: the attempt may have run, is sent again only if it may be, and its connection is closed. The connections of upstream.Pool read through it, so forward (proxy, stores) and the program in service have it, and the code that skips interim heads stood twice and stands once now. RFC 9112 decides: section 5 (names are tokens), 5.1 (no blank before the colon), 5.2 (a gateway may discard a response with a folded line: joined to a seal it changes that), 2.2 (a line feed alone may end a line: still taken, if all lines of the head end so). Trailers are dropped, as before: a body is complete with its last chunk (section 8).

TestOutcomes of internal/node has six cases more; its table moved out of the function, its other rows are unchanged.

--- a/internal/forward/doc.go
+++ b/internal/forward/doc.go
@@ -3,6 +3,8 @@
 // # Invariants
 //
 //   - A call of Do writes the request at most once.
+//   - Nothing in a response is believed unless its head, and the heads of the interim responses before it, are well-formed
+//     (package responsehead). After a malformed head the request may have run, and the connection is closed.
 //   - A response is returned only if it carries the attempt id of the request. It may come before the whole body of the request
 //     was written. No connection carries two requests with the same attempt id, so that a backend's second response to one of
 //     them, however late, is never taken for the response to the other.
--- a/internal/forward/failure.go
+++ b/internal/forward/failure.go
@@ -15,7 +15,6 @@
 	errNotExecuted       = errors.New("backend did not run the request")
 	errUndelimited       = errors.New("response body has neither a length nor chunks")
 	errTooLarge          = errors.New("response is too large")
-	errProtocolSwitched  = errors.New("backend switched to another protocol")
 )
 
 // Outcome states what is known about a request after an attempt that got no usable response.
--- a/internal/forward/roundtrip.go
+++ b/internal/forward/roundtrip.go
@@ -1,7 +1,6 @@
 package forward
 
 import (
-	"bufio"
 	"context"
 	"net/http"
 	"time"
@@ -78,10 +77,9 @@
 
 // receive reads the head of the response.
 func (rt *roundTrip) receive(r *Request) (*Response, *Failure) {
-	rt.conn.SetReadLimit(maxHeadBytes)
-	head, err := readHead(rt.conn.Reader, r.Method) //nolint:bodyclose // the body reads and releases the connection
+	head, err := rt.conn.ReadHead(&http.Request{Method: r.Method}, maxHeadBytes) //nolint:bodyclose // the body reads and releases the connection
 	if rt.history.Requests > 0 && rt.ctx.Err() == nil {
-		rt.client.pool.RecordReuse(rt.history.Idle, err != nil && rt.conn.ReadLimit() == maxHeadBytes)
+		rt.client.pool.RecordReuse(rt.history.Idle, err != nil && !rt.conn.ResponseHasBegun())
 	}
 	if err != nil {
 		return nil, rt.abort(err)
@@ -172,20 +170,3 @@
 	err := rt.remaining.wait()
 	rt.client.pool.Release(rt.conn, keep && err == nil)
 }
-
-// readHead reads the head of the final response, and skips interim (1xx) responses.
-func readHead(reader *bufio.Reader, method string) (*http.Response, error) {
-	request := &http.Request{Method: method}
-	for {
-		head, err := http.ReadResponse(reader, request)
-		if err != nil {
-			return nil, err
-		}
-		switch {
-		case head.StatusCode >= http.StatusOK:
-			return head, nil
-		case head.StatusCode == http.StatusSwitchingProtocols:
-			return nil, errProtocolSwitched
-		}
-	}
-}
--- a/internal/node/roundtrip.go
+++ b/internal/node/roundtrip.go
@@ -23,7 +23,6 @@
 var (
 	errTruncated     = errors.New("response body ends without a length or a final chunk")
 	errTooLarge      = errors.New("response too large")
-	errOtherProtocol = errors.New("backend switched to another protocol")
 	errTrailingBytes = errors.New("unexpected data after the response")
 )
 
@@ -33,7 +32,7 @@
 	if err := writeRequest(conn, req, len(x.body)); err != nil {
 		return result{code: decide.ConnectFailed, err: err}, false // the last byte was not written, so the request cannot run
 	}
-	resp, err := readResponseHeader(conn, req)
+	resp, err := conn.ReadHead(req, maxResponseHeader)
 	if err != nil {
 		return result{code: decide.Reset, err: err}, false
 	}
@@ -86,19 +85,6 @@
 	return err
 }
 
-// readResponseHeader reads the header of the final response and skips the interim responses before it.
-func readResponseHeader(conn *upstream.Conn, req *http.Request) (*http.Response, error) {
-	conn.SetReadLimit(maxResponseHeader) // http.ReadResponse does not limit the size of a header
-	resp, err := http.ReadResponse(conn.Reader, req)
-	for err == nil && resp.StatusCode < 200 && resp.StatusCode != http.StatusSwitchingProtocols {
-		resp, err = http.ReadResponse(conn.Reader, req)
-	}
-	if err == nil && resp.StatusCode < 200 {
-		err = errOtherProtocol
-	}
-	return resp, err
-}
-
 // readResponseBody reads the whole body of a response.
 func readResponseBody(conn *upstream.Conn, resp *http.Response) ([]byte, error) {
 	conn.SetReadLimit(conn.ReadLimit() + maxResponseBody + maxResponseHeader) // with the framing of chunks
--- a/internal/node/transport.go
+++ b/internal/node/transport.go
@@ -176,7 +176,7 @@
 	stopped := stop()
 	res.connHistory, res.opened = history, history.Requests == 0
 	if history.Requests > 0 && (res.err == nil || res.code == decide.Reset && ctx.Err() == nil) {
-		t.RecordReuse(history.Idle, res.err != nil && conn.ReadLimit() == maxResponseHeader)
+		t.RecordReuse(history.Idle, res.err != nil && !conn.ResponseHasBegun())
 	}
 	switch {
 	case res.err == nil:
--- a/internal/node/transport_test.go
+++ b/internal/node/transport_test.go
@@ -17,46 +17,55 @@
 	"nickelline/internal/upstream"
 )
 
+// outcomeCases are responses of a backend, by what is special about them, with the client's status and the outcome of the attempt.
+var outcomeCases = map[string]struct {
+	reply  string
+	status int
+	code   decide.OutcomeCode
+}{
+	"served":           {okResponse("x"), 200, decide.OK},
+	"chunked":          {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n", 200, decide.OK},
+	"interim":          {"HTTP/1.1 103 Early Hints\r\n\r\n" + okResponse("x"), 200, decide.OK},
+	"many interim":     {strings.Repeat("HTTP/1.1 102 Processing\r\n\r\n", 20) + okResponse("x"), 200, decide.OK},
+	"endless interim":  {strings.Repeat("HTTP/1.1 102 Processing\r\n\r\n", 1<<15), 502, decide.Reset},
+	"another protocol": {"HTTP/1.1 101 Switching Protocols\r\n\r\n" + okResponse("x"), 502, decide.Reset},
+	"copy behind":      {okResponse("x") + okResponse("x"), 200, decide.OK},
+	"part of a copy":   {okResponse("x") + "HTT", 200, decide.OK},
+	"noise behind":     {okResponse("x") + "\x8e1\xc0", 502, decide.Reset},
+	"short length":     {"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nabcd", 502, decide.Reset},
+	"short by much":    {"HTTP/1.1 200 OK\r\nContent-Length: 9000\r\n\r\n" + strings.Repeat("x", 20000), 502, decide.Reset},
+	"two lengths":      {"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 4\r\n\r\nabcd", 502, decide.Reset},
+	"negative length":  {"HTTP/1.1 200 OK\r\nContent-Length: -1\r\nContent-Length: 4\r\n\r\nabcd", 502, decide.Reset},
+	"no end of length": {"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n" + strings.Repeat("x", 1<<20), 502, decide.Reset},
+	"odd report":       {"HTTP/1.1 200 OK\r\nX-Backend-Load: =,=\r\nContent-Length: 1\r\n\r\nx", 200, decide.OK},
+	"client's fault":   {"HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n", 404, decide.Cancelled},
+	"error":            {"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n", 502, decide.BackendError},
+	"503 without mark": {"HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n", 502, decide.BackendError},
+	"turned away":      {"HTTP/1.1 503 No\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n", 503, decide.Full},
+	"too late":         {"HTTP/1.1 504 No\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n", 503, decide.Full},
+	"500 with mark":    {"HTTP/1.1 500 No\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n", 502, decide.BackendError},
+	"blank in a name":  {"HTTP/1.1 200 OK\r\nX A: a\r\nContent-Length: 1\r\n\r\nx", 502, decide.Reset},
+	"blank behind it":  {"HTTP/1.1 200 OK\r\nX-A : a\r\nContent-Length: 1\r\n\r\nx", 502, decide.Reset},
+	"mark, bad name":   {"HTTP/1.1 503 No\r\nX A: a\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n", 502, decide.Reset},
+	"fault, bad name":  {"HTTP/1.1 404 Not Found\r\nX A: a\r\nContent-Length: 0\r\n\r\n", 502, decide.Reset},
+	"folded line":      {"HTTP/1.1 200 OK\r\nX-A: a\r\n X-B: b\r\nContent-Length: 1\r\n\r\nx", 502, decide.Reset},
+	"bad interim":      {"HTTP/1.1 103 Early Hints\r\nX A: a\r\n\r\n" + okResponse("x"), 502, decide.Reset},
+	"silent close":     {"", 502, decide.Reset},
+	"garbage":          {"\x00\x01 what\r\n\r\n", 502, decide.Reset},
+	"truncated":        {"HTTP/1.1 200 OK\r\nContent-Length: 9\r\nConnection: close\r\n\r\nx", 502, decide.Reset},
+	"truncated chunk":  {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nx", 502, decide.Reset},
+	"no end":           {"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nx", 502, decide.Reset},
+	"huge header":      {"HTTP/1.1 200 OK\r\nX: " + strings.Repeat("x", 1<<20) + "\r\nContent-Length: 1\r\n\r\nx", 502, decide.Reset},
+	"large":            {okResponse(strings.Repeat("x", 6*maxBody)), 200, decide.OK},
+	"too large":        {okResponse(strings.Repeat("x", maxResponseBody+1)), 502, decide.Reset},
+	"too large chunks": {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + strings.Repeat("10000\r\n"+strings.Repeat("x", 1<<16)+"\r\n", 20), 502, decide.Reset},
+}
+
 // Checks the outcome and the client's status for each kind of response from a backend. An unsafe request is refused
 // only if it has not run.
 func TestOutcomes(t *testing.T) {
 	t.Parallel()
-	for name, c := range map[string]struct {
-		reply  string
-		status int
-		code   decide.OutcomeCode
-	}{
-		"served":           {okResponse("x"), 200, decide.OK},
-		"chunked":          {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n", 200, decide.OK},
-		"interim":          {"HTTP/1.1 103 Early Hints\r\n\r\n" + okResponse("x"), 200, decide.OK},
-		"many interim":     {strings.Repeat("HTTP/1.1 102 Processing\r\n\r\n", 20) + okResponse("x"), 200, decide.OK},
-		"endless interim":  {strings.Repeat("HTTP/1.1 102 Processing\r\n\r\n", 1<<15), 502, decide.Reset},
-		"another protocol": {"HTTP/1.1 101 Switching Protocols\r\n\r\n" + okResponse("x"), 502, decide.Reset},
-		"copy behind":      {okResponse("x") + okResponse("x"), 200, decide.OK},
-		"part of a copy":   {okResponse("x") + "HTT", 200, decide.OK},
-		"noise behind":     {okResponse("x") + "\x8e1\xc0", 502, decide.Reset},
-		"short length":     {"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nabcd", 502, decide.Reset},
-		"short by much":    {"HTTP/1.1 200 OK\r\nContent-Length: 9000\r\n\r\n" + strings.Repeat("x", 20000), 502, decide.Reset},
-		"two lengths":      {"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 4\r\n\r\nabcd", 502, decide.Reset},
-		"negative length":  {"HTTP/1.1 200 OK\r\nContent-Length: -1\r\nContent-Length: 4\r\n\r\nabcd", 502, decide.Reset},
-		"no end of length": {"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n" + strings.Repeat("x", 1<<20), 502, decide.Reset},
-		"odd report":       {"HTTP/1.1 200 OK\r\nX-Backend-Load: =,=\r\nContent-Length: 1\r\n\r\nx", 200, decide.OK},
-		"client's fault":   {"HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n", 404, decide.Cancelled},
-		"error":            {"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n", 502, decide.BackendError},
-		"503 without mark": {"HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n", 502, decide.BackendError},
-		"turned away":      {"HTTP/1.1 503 No\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n", 503, decide.Full},
-		"too late":         {"HTTP/1.1 504 No\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n", 503, decide.Full},
-		"500 with mark":    {"HTTP/1.1 500 No\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n", 502, decide.BackendError},
-		"silent close":     {"", 502, decide.Reset},
-		"garbage":          {"\x00\x01 what\r\n\r\n", 502, decide.Reset},
-		"truncated":        {"HTTP/1.1 200 OK\r\nContent-Length: 9\r\nConnection: close\r\n\r\nx", 502, decide.Reset},
-		"truncated chunk":  {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nx", 502, decide.Reset},
-		"no end":           {"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nx", 502, decide.Reset},
-		"huge header":      {"HTTP/1.1 200 OK\r\nX: " + strings.Repeat("x", 1<<20) + "\r\nContent-Length: 1\r\n\r\nx", 502, decide.Reset},
-		"large":            {okResponse(strings.Repeat("x", 6*maxBody)), 200, decide.OK},
-		"too large":        {okResponse(strings.Repeat("x", maxResponseBody+1)), 502, decide.Reset},
-		"too large chunks": {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + strings.Repeat("10000\r\n"+strings.Repeat("x", 1<<16)+"\r\n", 20), 502, decide.Reset},
-	} {
+	for name, c := range outcomeCases {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			addr := startBackend(t, func(conn net.Conn) {
--- /dev/null
+++ b/internal/responsehead/checker.go
@@ -0,0 +1,157 @@
+package responsehead
+
+import (
+	"bytes"
+	"strings"
+)
+
+// maxLineBytes bounds one line of a head.
+const maxLineBytes = 64 << 10
+
+// state is what a Checker expects next.
+type state uint8
+
+const (
+	anything state = iota // no head: bytes are not checked
+	statusLine
+	fieldLine
+)
+
+// Checker checks the bytes of a response up to the end of its head. The zero value checks nothing until Begin is called. It does
+// no I/O and is not safe for concurrent use.
+type Checker struct {
+	state state
+	// partial is the beginning of a line whose end has not come yet.
+	partial []byte
+	// endsWithCR reports whether the lines of the head end with a carriage return and a line feed.
+	endsWithCR bool
+	// interim reports whether the head is that of an interim response, which another head follows.
+	interim bool
+	err     *MalformedError
+}
+
+// Begin makes the next byte the first one of a head.
+func (c *Checker) Begin() {
+	*c = Checker{state: statusLine, partial: c.partial[:0]}
+}
+
+// IsComplete reports whether the head of the final response has ended, or none was expected.
+func (c *Checker) IsComplete() bool { return c.state == anything && c.err == nil }
+
+// Check checks the next bytes. If one of them shows that the head is malformed, it returns how many bytes come before the malformed
+// line, and a *MalformedError, as all later calls do until Begin.
+func (c *Checker) Check(p []byte) (valid int, err error) {
+	if c.err != nil {
+		return 0, c.err
+	}
+	for valid < len(p) && c.state != anything {
+		length := bytes.IndexByte(p[valid:], '\n') + 1
+		if length == 0 {
+			return c.keepPartial(p, valid)
+		}
+		if c.err = c.checkLine(c.wholeLine(p[valid : valid+length])); c.err != nil {
+			return valid, c.err
+		}
+		valid += length
+	}
+	return len(p), nil
+}
+
+// keepPartial keeps the bytes from start on until the rest of their line comes.
+func (c *Checker) keepPartial(p []byte, start int) (valid int, err error) {
+	c.partial = append(c.partial, p[start:]...)
+	if len(c.partial) > maxLineBytes {
+		c.err = malformed(LineLength, c.partial)
+		return start, c.err
+	}
+	return len(p), nil
+}
+
+// wholeLine returns the line whose last bytes are given.
+func (c *Checker) wholeLine(last []byte) []byte {
+	if len(c.partial) == 0 {
+		return last
+	}
+	line := append(c.partial, last...)
+	c.partial = line[:0]
+	return line
+}
+
+// checkLine checks a line with its end.
+func (c *Checker) checkLine(line []byte) *MalformedError {
+	content, endsWithCR := bytes.CutSuffix(line[:len(line)-1], []byte{'\r'})
+	if c.state == statusLine {
+		c.endsWithCR = endsWithCR
+		return c.checkStatusLine(content)
+	}
+	switch {
+	case endsWithCR != c.endsWithCR:
+		return malformed(LineEnd, line)
+	case len(content) == 0:
+		c.endHead()
+		return nil
+	}
+	return checkField(content)
+}
+
+// checkStatusLine checks the first line of a head.
+func (c *Checker) checkStatusLine(line []byte) *MalformedError {
+	c.state = fieldLine
+	_, rest, _ := bytes.Cut(line, []byte{' '})
+	status := bytes.TrimLeft(rest, " ")
+	c.interim = bytes.HasPrefix(status, []byte{'1'}) && !bytes.HasPrefix(status, []byte(switchingProtocols))
+	return nil
+}
+
+// switchingProtocols is the status of a response after which the connection no longer carries HTTP/1.1.
+const switchingProtocols = "101"
+
+// endHead ends a head with its empty line. After an interim response comes another head.
+func (c *Checker) endHead() {
+	c.state = anything
+	if c.interim {
+		c.state = statusLine
+	}
+}
+
+// checkField checks a line of the header section.
+func checkField(line []byte) *MalformedError {
+	if isBlank(line[0]) {
+		return malformed(FoldedLine, line)
+	}
+	name, value, found := bytes.Cut(line, []byte{':'})
+	switch {
+	case !found || !isToken(name):
+		return malformed(FieldName, line)
+	case !isText(value):
+		return malformed(FieldValue, line)
+	}
+	return nil
+}
+
+// tokenSymbols holds the bytes other than letters and digits that RFC 9110 section 5.6.2 allows in a token.
+const tokenSymbols = "!#$%&'*+-.^_`|~"
+
+// isToken reports whether text is a token.
+func isToken(text []byte) bool {
+	for _, c := range text {
+		letter := 'a' <= c|0x20 && c|0x20 <= 'z'
+		digit := '0' <= c && c <= '9'
+		if !letter && !digit && strings.IndexByte(tokenSymbols, c) < 0 {
+			return false
+		}
+	}
+	return len(text) > 0
+}
+
+// isText reports whether text has no control byte other than the tab.
+func isText(text []byte) bool {
+	for _, c := range text {
+		if c < ' ' && c != '\t' || c == 0x7f {
+			return false
+		}
+	}
+	return true
+}
+
+func isBlank(c byte) bool { return c == ' ' || c == '\t' }
--- /dev/null
+++ b/internal/responsehead/malformed.go
@@ -0,0 +1,39 @@
+package responsehead
+
+import "fmt"
+
+// Reason is what is wrong with a malformed head.
+type Reason string
+
+// The reasons for which a head is malformed.
+const (
+	// FieldName means that a line of the header has no name, or a name that is not a token.
+	FieldName Reason = "field_name"
+	// FieldValue means that a field value has a control byte.
+	FieldValue Reason = "field_value"
+	// FoldedLine means that a line of the header begins with a blank.
+	FoldedLine Reason = "folded_line"
+	// LineEnd means that the lines of the head do not all end in the same way.
+	LineEnd Reason = "line_end"
+	// LineLength means that a line is longer than any that is accepted.
+	LineLength Reason = "line_length"
+)
+
+// maxQuotedBytes bounds the part of a line that an error quotes.
+const maxQuotedBytes = 48
+
+// MalformedError is the error of reading a malformed head.
+type MalformedError struct {
+	Reason Reason
+	// Line is the beginning of the malformed line.
+	Line string
+}
+
+// Error gives the reason and the line.
+func (e *MalformedError) Error() string {
+	return fmt.Sprintf("malformed response head: %s in line %q", e.Reason, e.Line)
+}
+
+func malformed(reason Reason, line []byte) *MalformedError {
+	return &MalformedError{Reason: reason, Line: string(line[:min(len(line), maxQuotedBytes)])}
+}
--- a/internal/store/repeated_response_test.go
+++ b/internal/store/repeated_response_test.go
@@ -23,25 +23,39 @@
 }
 
 func startRepeatingBackend(t *testing.T) *repeatingBackend {
+	t.Helper()
+	b := &repeatingBackend{}
+	b.Backend = listenAsBackend(t, b.serve)
+	return b
+}
+
+// listenAsBackend starts a backend that calls serve for each connection.
+func listenAsBackend(t *testing.T, serve func(conn net.Conn)) discovery.Backend {
 	t.Helper()
 	listener, err := net.ListenTCP("tcp4", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = listener.Close() })
-	b := &repeatingBackend{Backend: discovery.Backend{
-		ID: "i-0", Service: testService, Address: netip.MustParseAddrPort(listener.Addr().String()),
-	}}
 	go func() {
 		for {
 			conn, err := listener.Accept()
 			if err != nil {
 				return
 			}
-			go b.serve(conn)
+			go serve(conn)
 		}
 	}()
-	return b
+	return discovery.Backend{ID: "i-0", Service: testService, Address: netip.MustParseAddrPort(listener.Addr().String())}
+}
+
+// useBackend makes a backend the only one, and sends items to it by a client of its own.
+func (f *fixture) useBackend(b discovery.Backend) {
+	client := forward.NewClient(forward.Options{MaxConnections: 100, ConnectTimeout: testTimeout})
+	client.SetBackends(discovery.NewList([]discovery.Backend{b}))
+	f.admission.backends = []discovery.Backend{b}
+	f.config.sender = client
+	f.configure(testConfiguration(f.t, testPrefix, 2, 40), true)
 }
 
 func (b *repeatingBackend) serve(conn net.Conn) {
@@ -76,11 +90,7 @@
 func TestOneFailureIsCountedOnce(t *testing.T) {
 	b := startRepeatingBackend(t)
 	f := newFixture(t, 0)
-	client := forward.NewClient(forward.Options{MaxConnections: 100, ConnectTimeout: testTimeout})
-	client.SetBackends(discovery.NewList([]discovery.Backend{b.Backend}))
-	f.admission.backends = []discovery.Backend{b.Backend}
-	f.config.sender = client
-	f.configure(testConfiguration(t, testPrefix, 2, 40), true)
+	f.useBackend(b.Backend)
 	job := testJob(testKey(1), 1, 1)
 	f.submit(job)
 	f.start()
--- a/internal/upstream/acquire.go
+++ b/internal/upstream/acquire.go
@@ -6,6 +6,8 @@
 	"io"
 	"slices"
 	"time"
+
+	"nickelline/internal/responsehead"
 )
 
 const (
@@ -148,13 +150,15 @@
 		p.open--
 		return nil, err
 	}
-	limited := &io.LimitedReader{R: tcp}
+	checked := responsehead.NewReader(tcp)
+	limited := &io.LimitedReader{R: checked}
 	now := time.Now()
 	return &Conn{
 		Conn:      tcp,
 		Reader:    bufio.NewReader(limited),
 		backend:   b,
 		readLimit: limited,
+		responses: checked,
 		idleSince: now,
 		createdAt: now,
 	}, nil
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -6,6 +6,8 @@
 	"net"
 	"syscall"
 	"time"
+
+	"nickelline/internal/responsehead"
 )
 
 // unreadPrefixLength is the greatest number of bytes that Unread returns: enough to recognize an HTTP/1 response.
@@ -18,8 +20,9 @@
 	Reader *bufio.Reader
 
 	backend   *Backend
-	readLimit *io.LimitedReader // below Reader
-	idleSince time.Time         // creation or last release
+	readLimit *io.LimitedReader    // below Reader
+	responses *responsehead.Reader // below readLimit
+	idleSince time.Time            // creation or last release
 	createdAt time.Time
 	requests  int // written so far
 }
@@ -35,6 +38,7 @@
 func (c *Conn) RecordRequest(now time.Time) ConnHistory {
 	history := ConnHistory{Requests: c.requests, Age: now.Sub(c.createdAt), Idle: now.Sub(c.idleSince)}
 	c.requests++
+	c.responses.ExpectResponse()
 	return history
 }
 
--- a/internal/upstream/doc.go
+++ b/internal/upstream/doc.go
@@ -26,5 +26,6 @@
 //   - backends.go: the list of backends
 //   - acquire.go: taking, dialing and giving back a connection
 //   - conn.go, write.go, dial.go: one connection, writing without waiting, and how it is dialed
+//   - response.go: the head of a response
 //   - idlehistory.go: how long connections may be idle, learned from those that broke
 package upstream
