Responses: a head without a proper status line is no response

What callers saw: a backend's answer with status 000 (or any below 100) that a proper head followed on the connection was skipped as an interim response, and what followed was taken for the answer: 200 with that body at the client, a text or a rejection for an item of a batch job. Alone it ended in a 502, by luck, for what came next did not parse, or at the deadline, if nothing came. 600 and 999 were passed on; with Nickelline-Not-Executed they sent a request that may not be repeated to a second backend. HTTP/2.0, HTTP/0.9 and HTTP/3.1 were taken for HTTP/1.1, and control bytes in the reason phrase passed.

Cause: http.ReadResponse takes any three digits for a status, and any two numbers for a version.

Change: the check of heads knows the status line: HTTP/1 with any minor version (RFC 9110 section 2.5), a status of 100 to 599 (section 15: all others are invalid, and to be processed like a 5xx, which the 502 is), a reason phrase without control bytes. A missing reason phrase or space before it, and more than one space, are still taken (RFC 9112 section 4 lets a recipient).

--- a/internal/forward/malformed_response_test.go
+++ b/internal/forward/malformed_response_test.go
@@ -5,9 +5,14 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 )
 
-const malformedBody = "of a malformed response"
+const (
+	malformedBody = "of a malformed response"
+	// refusalTimeout bounds the time in which a malformed response is to be refused, although its connection stays open.
+	refusalTimeout = 4 * time.Second
+)
 
 // malformedLines are header lines that RFC 9112 section 5 does not allow, by what is wrong with them.
 func malformedLines() map[string]string {
@@ -44,6 +49,7 @@
 	client := testClient(t, 0, b)
 	request := testRequest()
 	request.Method = method
+	request.Deadline = time.Now().Add(refusalTimeout)
 	response, failure := client.Do(t.Context(), b.Backend, request)
 	switch {
 	case failure == nil:
--- a/internal/proxy/malformed_response_test.go
+++ b/internal/proxy/malformed_response_test.go
@@ -111,6 +111,42 @@
 	}
 }
 
+// TestResponseWithAnInvalidStatusDoesNotReachTheClient guards against a response whose status is no status being passed on, and against
+// what follows it on the connection being taken for the response.
+func TestResponseWithAnInvalidStatusDoesNotReachTheClient(t *testing.T) {
+	proper := responseText(200, sealField, strangeBody)
+	for _, status := range []string{"000", "042", "099", "600", "999"} {
+		invalid := strings.Replace(proper, "200", status, 1)
+		stream := strings.Replace(streamHead, "200", status, 1)
+		for _, c := range []struct {
+			name, path, text string
+			status           int
+			body             string
+			counts           []int
+		}{
+			{"alone", "/once/x", invalid, 502, "", []int{1, 0}},
+			{"alone, repeatable", "/many/x", invalid, 200, "b", []int{1, 1}},
+			{"before a proper one", "/once/x", strings.Replace(invalid, strangeBody, "", 1) + proper, 502, "", []int{1, 0}},
+			{"without a body before a proper one", "/once/x", "HTTP/1.1 " + status + " x\r\n\r\n" + proper, 502, "", []int{1, 0}},
+			{"after an interim one", "/once/x", "HTTP/1.1 100 x\r\n\r\n" + invalid, 502, "", []int{1, 0}},
+			{"not executed", "/once/x", strings.Replace(invalid, sealField, notExecutedField, 1), 502, "", []int{1, 0}},
+			{"stream", "/stream/x", stream + chunk("id: 1\ndata: strange\n\n") + lastChunk, 502, "", []int{1, 0}},
+		} {
+			t.Run(status+" "+c.name, func(t *testing.T) {
+				s := startTestProxy(t, nil, startBackend(t, replyAndClose(c.text)), startBackend(t, okReply("b")))
+				a := s.post(t, c.path)
+				if a.StatusCode != c.status || c.body != "" && a.body != c.body {
+					t.Errorf("response: got %d %q, want %d %q", a.StatusCode, a.body, c.status, c.body)
+				}
+				expectNothingStrange(t, a)
+				if counts := s.requestCounts(); !slices.Equal(counts, c.counts) {
+					t.Errorf("requests by backend: got %v, want %v", counts, c.counts)
+				}
+			})
+		}
+	}
+}
+
 // TestMalformedResponseToHead is the same for a request whose response has no body.
 func TestMalformedResponseToHead(t *testing.T) {
 	for _, field := range malformedFields {
--- a/internal/responsehead/checker.go
+++ b/internal/responsehead/checker.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"net/http"
 	"strings"
 )
 
@@ -96,15 +97,40 @@
 
 // checkStatusLine checks the first line of a head.
 func (c *Checker) checkStatusLine(line []byte) *MalformedError {
+	version, rest, _ := bytes.Cut(line, []byte{' '})
+	if !isVersion1(version) || !isText(rest) {
+		return malformed(StatusLine, line)
+	}
+	code, _, _ := bytes.Cut(bytes.TrimLeft(rest, " "), []byte{' '})
+	status, ok := parseStatus(code)
+	if !ok {
+		return malformed(Status, line)
+	}
 	c.state = fieldLine
-	_, rest, _ := bytes.Cut(line, []byte{' '})
-	status := bytes.TrimLeft(rest, " ")
-	c.interim = bytes.HasPrefix(status, []byte{'1'}) && !bytes.HasPrefix(status, []byte(switchingProtocols))
+	c.interim = status < http.StatusOK && status != http.StatusSwitchingProtocols
 	return nil
 }
 
-// switchingProtocols is the status of a response after which the connection no longer carries HTTP/1.1.
-const switchingProtocols = "101"
+// isVersion1 reports whether text is a version of HTTP/1.
+func isVersion1(text []byte) bool {
+	minor, found := bytes.CutPrefix(text, []byte("HTTP/1."))
+	return found && len(minor) == 1 && isDigit(minor[0])
+}
+
+// parseStatus returns the status that a code states, and whether it is one of 100 to 599. RFC 9110 section 15 calls all others invalid.
+func parseStatus(code []byte) (status int, ok bool) {
+	const minStatus, maxStatus, digits = 100, 599, 3
+	if len(code) != digits {
+		return 0, false
+	}
+	for _, c := range code {
+		if !isDigit(c) {
+			return 0, false
+		}
+		status = 10*status + int(c-'0')
+	}
+	return status, minStatus <= status && status <= maxStatus
+}
 
 // endHead ends a head with its empty line. After an interim response comes another head.
 func (c *Checker) endHead() {
@@ -136,8 +162,7 @@
 func isToken(text []byte) bool {
 	for _, c := range text {
 		letter := 'a' <= c|0x20 && c|0x20 <= 'z'
-		digit := '0' <= c && c <= '9'
-		if !letter && !digit && strings.IndexByte(tokenSymbols, c) < 0 {
+		if !letter && !isDigit(c) && strings.IndexByte(tokenSymbols, c) < 0 {
 			return false
 		}
 	}
@@ -155,3 +180,5 @@
 }
 
 func isBlank(c byte) bool { return c == ' ' || c == '\t' }
+
+func isDigit(c byte) bool { return '0' <= c && c <= '9' }
--- a/internal/responsehead/checker_test.go
+++ b/internal/responsehead/checker_test.go
@@ -55,6 +55,20 @@
 	{"interim heads", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 x\r\nX-A: a\r\n\r\n" + okLine + "X-A: a\r\n\r\n", ""},
 	{"whatever comes after the head", okLine + "\r\n: \x00\n\n x", ""},
 	{"whatever comes after a switch of protocols", "HTTP/1.1 101 x\r\n\r\n: \x00\n\n x", ""},
+	{"more than one space", "HTTP/1.1  200  OK\r\n\r\n", ""},
+	{"another minor version", "HTTP/1.0 200 OK\r\n\r\n", ""},
+	{"the least and the greatest status", "HTTP/1.1 100 x\r\n\r\nHTTP/1.1 599 x\r\n\r\n", ""},
+	{"status 000", "HTTP/1.1 000 x\r\n\r\n" + okLine + "\r\n", Status},
+	{"status 099", "HTTP/1.1 099 x\r\n\r\n" + okLine + "\r\n", Status},
+	{"status 600", "HTTP/1.1 600 x\r\n\r\n", Status},
+	{"a sign", "HTTP/1.1 +20 x\r\n\r\n", Status},
+	{"two digits", "HTTP/1.1 20 x\r\n\r\n", Status},
+	{"no status", "HTTP/1.1\r\n\r\n", Status},
+	{"status 000 after an interim head", "HTTP/1.1 100 x\r\n\r\nHTTP/1.1 000 x\r\n\r\n", Status},
+	{"another major version", "HTTP/2.0 200 OK\r\n\r\n", StatusLine},
+	{"no version", "ICY 200 OK\r\n\r\n", StatusLine},
+	{"empty line", "\r\n" + okLine + "\r\n", StatusLine},
+	{"control byte in the reason phrase", "HTTP/1.1 200 a\x00\r\n\r\n", StatusLine},
 	{"no name", okLine + ": a\r\n\r\n", FieldName},
 	{"no colon", okLine + "X-A\r\n\r\n", FieldName},
 	{"blank in a name", okLine + "X A: a\r\n\r\n", FieldName},
@@ -93,7 +107,7 @@
 // TestPiecesDoNotMatter checks that the verdict on a text, and what comes before its malformed line, do not depend on the pieces in
 // which the text arrives.
 func TestPiecesDoNotMatter(t *testing.T) {
-	lines := []string{okLine, "HTTP/1.1 100 x\r\n", "X-A: a\r\n", "X A: a\r\n", " b\r\n", "\r\n", "\n", "X-B: \x01\r\n", "X-C: c\n", "X-D"}
+	lines := []string{okLine, "HTTP/1.1 000 x\r\n", "HTTP/1.1 100 x\r\n", "X-A: a\r\n", "X A: a\r\n", " b\r\n", "\r\n", "\n", "X-B: \x01\r\n", "X-C: c\n", "X-D"}
 	rapid.Check(t, func(t *rapid.T) {
 		text := strings.Join(rapid.SliceOf(rapid.SampledFrom(lines)).Draw(t, "lines"), "")
 		var whole, pieces Checker
--- a/internal/responsehead/malformed.go
+++ b/internal/responsehead/malformed.go
@@ -7,6 +7,10 @@
 
 // The reasons for which a head is malformed.
 const (
+	// StatusLine means that the first line is not the status line of an HTTP/1 response.
+	StatusLine Reason = "status_line"
+	// Status means that the status is not a number from 100 to 599.
+	Status Reason = "status"
 	// FieldName means that a line of the header has no name, or a name that is not a token.
 	FieldName Reason = "field_name"
 	// FieldValue means that a field value has a control byte.
--- a/internal/store/malformed_response_test.go
+++ b/internal/store/malformed_response_test.go
@@ -39,6 +39,10 @@
 		return strings.Replace(response, "\r\n", "\r\n"+malformedLine, 1)
 	}
 	rejection := strings.Replace(failureResponse("ID"), "500 Internal Server Error", "422 Unprocessable Entity", 1)
+	texts := map[string]string{
+		"status 000, then a text":      "HTTP/1.1 000 x\r\n\r\n" + streamResponse("ID"),
+		"status 000, then a rejection": "HTTP/1.1 000 x\r\n\r\n" + rejection,
+	}
 	for name, response := range map[string]string{
 		"rejection":     rejection,
 		"server error":  failureResponse("ID"),
@@ -46,8 +50,11 @@
 		"not executed":  strings.Replace(failureResponse("ID"), "500 ", "503 ", 1),
 		"interim first": "HTTP/1.1 100 Continue\r\n\r\n" + failureResponse("ID"),
 	} {
+		texts["malformed "+name] = malformedOf(response)
+	}
+	for name, text := range texts {
 		t.Run(name, func(t *testing.T) {
-			strange := strings.ReplaceAll(malformedOf(response), "data: ", "data: strange ")
+			strange := strings.ReplaceAll(text, "data: ", "data: strange ")
 			b := startMalformedBackend(t, strange, strange) // maxAttempts is 2
 			f := newFixture(t, 0)
 			f.useBackend(b)
