Responses: a head that contradicts itself on the end of the body is no response

What callers saw: 200 with a body whose end was a guess: a length beside chunks (the length was dropped), and chunks in HTTP/1.0 (the chunk sizes were passed on as the body, where a length stood beside them). A promise of no execution in such a head was believed.

Cause: http.ReadResponse lets one field override the other. RFC 9112 section 6.1 has a sender send only one of them, and a client treat chunks of HTTP/1.0 as faulty framing; section 6.3 says that both together ought to be handled as an error.

Change: the check of heads keeps what a head says on its framing, and refuses what is invalid or contradictory. The same length twice is taken, as before.

--- a/internal/responsehead/checker.go
+++ b/internal/responsehead/checker.go
@@ -26,6 +26,9 @@
 	partial []byte
 	// endsWithCR reports whether the lines of the head end with a carriage return and a line feed.
 	endsWithCR bool
+	// hasCodings reports whether the head may state a transfer coding, which HTTP/1.0 does not know (RFC 9112 section 6.1).
+	hasCodings bool
+	framing    framing
 	// interim reports whether the head is that of an interim response, which another head follows.
 	interim bool
 	err     *MalformedError
@@ -92,7 +95,7 @@
 		c.endHead()
 		return nil
 	}
-	return checkField(content)
+	return c.checkField(content)
 }
 
 // checkStatusLine checks the first line of a head.
@@ -107,6 +110,8 @@
 		return malformed(Status, line)
 	}
 	c.state = fieldLine
+	c.framing = framing{}
+	c.hasCodings = version[len(version)-1] > '0'
 	c.interim = status < http.StatusOK && status != http.StatusSwitchingProtocols
 	return nil
 }
@@ -141,7 +146,7 @@
 }
 
 // checkField checks a line of the header section.
-func checkField(line []byte) *MalformedError {
+func (c *Checker) checkField(line []byte) *MalformedError {
 	if isBlank(line[0]) {
 		return malformed(FoldedLine, line)
 	}
@@ -151,6 +156,8 @@
 		return malformed(FieldName, line)
 	case !isText(value):
 		return malformed(FieldValue, line)
+	case !c.framing.add(name, value), c.framing.isChunked && !c.hasCodings:
+		return malformed(Framing, line)
 	}
 	return nil
 }
--- a/internal/responsehead/checker_test.go
+++ b/internal/responsehead/checker_test.go
@@ -69,6 +69,16 @@
 	{"no version", "ICY 200 OK\r\n\r\n", StatusLine},
 	{"empty line", "\r\n" + okLine + "\r\n", StatusLine},
 	{"control byte in the reason phrase", "HTTP/1.1 200 a\x00\r\n\r\n", StatusLine},
+	{"a length twice", okLine + "Content-Length: 5\r\ncontent-length:5 \r\n\r\n", ""},
+	{"chunks", okLine + "Transfer-Encoding: Chunked \r\n\r\n", ""},
+	{"lengths of two heads", "HTTP/1.1 103 x\r\nContent-Length: 0\r\n\r\n" + okLine + "Transfer-Encoding: chunked\r\n\r\n", ""},
+	{"two lengths", okLine + "Content-Length: 5\r\nContent-Length: 6\r\n\r\n", Framing},
+	{"a length before chunks", okLine + "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n", Framing},
+	{"a length after chunks", okLine + "Transfer-Encoding: chunked\r\nContent-Length: 5\r\n\r\n", Framing},
+	{"chunks of HTTP/1.0", "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", Framing},
+	{"another coding", okLine + "Transfer-Encoding: gzip, chunked\r\n\r\n", Framing},
+	{"a length that is no number", okLine + "Content-Length: 0x5\r\n\r\n", Framing},
+	{"a length that is too large", okLine + "Content-Length: 9223372036854775808\r\n\r\n", Framing},
 	{"no name", okLine + ": a\r\n\r\n", FieldName},
 	{"no colon", okLine + "X-A\r\n\r\n", FieldName},
 	{"blank in a name", okLine + "X A: a\r\n\r\n", FieldName},
@@ -107,7 +117,7 @@
 // TestPiecesDoNotMatter checks that the verdict on a text, and what comes before its malformed line, do not depend on the pieces in
 // which the text arrives.
 func TestPiecesDoNotMatter(t *testing.T) {
-	lines := []string{okLine, "HTTP/1.1 000 x\r\n", "HTTP/1.1 100 x\r\n", "X-A: a\r\n", "X A: a\r\n", " b\r\n", "\r\n", "\n", "X-B: \x01\r\n", "X-C: c\n", "X-D"}
+	lines := []string{okLine, "HTTP/1.1 000 x\r\n", "HTTP/1.1 100 x\r\n", "X-A: a\r\n", "Content-Length: 1\r\n", "X A: a\r\n", " b\r\n", "\r\n", "\n", "X-B: \x01\r\n", "X-C: c\n", "X-D"}
 	rapid.Check(t, func(t *rapid.T) {
 		text := strings.Join(rapid.SliceOf(rapid.SampledFrom(lines)).Draw(t, "lines"), "")
 		var whole, pieces Checker
--- a/internal/responsehead/doc.go
+++ b/internal/responsehead/doc.go
@@ -16,6 +16,7 @@
 // # Files
 //
 //   - checker.go: the check of a head, line by line
+//   - framing.go: what a head says about where its body ends
 //   - reader.go: a connection whose responses are checked
 //   - malformed.go: what is wrong with a head
 package responsehead
--- a/internal/responsehead/malformed.go
+++ b/internal/responsehead/malformed.go
@@ -17,6 +17,8 @@
 	FieldValue Reason = "field_value"
 	// FoldedLine means that a line of the header begins with a blank.
 	FoldedLine Reason = "folded_line"
+	// Framing means that a field says nothing valid about where the body ends, or contradicts another one.
+	Framing Reason = "framing"
 	// LineEnd means that the lines of the head do not all end in the same way.
 	LineEnd Reason = "line_end"
 	// LineLength means that a line is longer than any that is accepted.
