Responses: two ids, two seals or an encoded body are not the backend's

What callers saw: a response with two Nickelline-Attempt-Id of which the first was the request's was passed on with both, one with two seals too, and one with a Content-Encoding with a body that clients do not take for the backend's. A promise of no execution with two ids was believed.

Cause: http.Header.Get returns the first line of a field, and the others were not looked at. Nothing looked at Content-Encoding.

Which sentence decides: PROTOCOL.md, "the id shows which it is" and "an answer carrying a Content-Encoding is not the backend's body"; RFC 9110 section 5.3, a sender must not generate a field twice that is no list. Such a response is treated like a malformed head: the request may have run, its connection is closed. A promise of no execution stands whatever the encoding of its body, which nobody reads.

--- a/internal/forward/client_test.go
+++ b/internal/forward/client_test.go
@@ -195,6 +195,7 @@
 		{"another backend at the address", completeResponse("421 Misdirected Request", "", ""), NotExecuted},
 		{"full, without an id", "HTTP/1.1 503 x\r\nNickelline-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n", NotExecuted},
 		{"another backend, without an id", "HTTP/1.1 421 x\r\nContent-Length: 0\r\n\r\n", NotExecuted},
+		{"full, with an encoded body", completeResponse("503 x", "Nickelline-Not-Executed: 1\r\nContent-Encoding: gzip\r\n", "full"), NotExecuted},
 		{"full, without an end", rawResponse("503 x", "Nickelline-Not-Executed: 1\r\n\r\n"), NotExecuted},
 		{"full, to another request", strings.ReplaceAll(completeResponse("503 x", "Nickelline-Not-Executed: 1\r\n", ""), testID, "other"), MayHaveRun},
 		{"another protocol", rawResponse("101 Switching Protocols", "\r\n"), MayHaveRun},
--- a/internal/forward/doc.go
+++ b/internal/forward/doc.go
@@ -26,6 +26,7 @@
 //   - connection.go, attempt_set.go: connections, how long their backends keep them open, and which attempts they have carried
 //   - requestwrite.go: writing a request while its response may already come
 //   - roundtrip.go: a request and the head of its response on one connection
+//   - responsefields.go: fields that a response may have once, or not at all
 //   - response.go, serverload.go: a response, and the load that its backend reports
 //   - body.go, events.go: the body of a response, and the events of a stream
 //   - failure.go: why an attempt got no response
--- a/internal/forward/roundtrip.go
+++ b/internal/forward/roundtrip.go
@@ -81,6 +81,9 @@
 	if rt.history.Requests > 0 && rt.ctx.Err() == nil {
 		rt.client.pool.RecordReuse(rt.history.Idle, err != nil && !rt.conn.ResponseHasBegun())
 	}
+	if err == nil {
+		err = checkSingleFields(head.Header)
+	}
 	if err != nil {
 		return nil, rt.abort(err)
 	}
@@ -93,6 +96,9 @@
 	if id != r.AttemptID && !(id == "" && notExecuted) {
 		return nil, rt.abort(errAttemptIDMismatch)
 	}
+	if err := checkEncoding(head.Header); err != nil && !notExecuted {
+		return nil, rt.abort(err)
+	}
 	response := rt.response(head)
 	response.body.reusable = response.body.reusable && id != ""
 	if notExecuted {
--- a/internal/responsehead/malformed.go
+++ b/internal/responsehead/malformed.go
@@ -23,6 +23,11 @@
 	LineEnd Reason = "line_end"
 	// LineLength means that a line is longer than any that is accepted.
 	LineLength Reason = "line_length"
+	// RepeatedField means that a field that identifies the response is there more than once. Checker does not check it, since it
+	// does not know these fields.
+	RepeatedField Reason = "repeated_field"
+	// EncodedBody means that the body has an encoding that was not asked for. Checker does not check it.
+	EncodedBody Reason = "encoded_body"
 )
 
 // maxQuotedBytes bounds the part of a line that an error quotes.
