Platform's list, operators' calls: a malformed answer is no answer

What callers saw: a page of the platform's list with status 000 was taken for 200, a list without backends included; so were pages with blanks, control bytes and NUL in names, NUL in values, two lengths, HTTP/2.0 and "ICY 200 OK" as a first line, and pages after such an interim answer. The operators' commands took the same for a node's acknowledgement, or its refusal.

Cause: hertz reads a status of zero as "not set", which it reports as 200, and its parser looks for little else; isDefinite and the switch over the list's status never saw the 000.

Change: both clients dial with package checkeddial, whose connections run the check of heads (responsehead) on what has arrived before hertz parses it. A poll of the list that meets such an answer fails like any other, and a call of an operator goes on to the next node.

--- a/internal/discovery/platform.go
+++ b/internal/discovery/platform.go
@@ -14,8 +14,9 @@
 
 	"github.com/ansel1/merry/v2"
 	"github.com/cloudwego/hertz/pkg/app/client"
-	"github.com/cloudwego/hertz/pkg/network/standard"
 	"github.com/cloudwego/hertz/pkg/protocol"
+
+	"nickelline/internal/checkeddial"
 )
 
 const (
@@ -43,7 +44,7 @@
 // for no limit.
 func NewPlatform(address netip.AddrPort, ratePerS float64) (*Platform, error) {
 	c, err := client.NewClient(
-		client.WithDialer(standard.NewDialer()),
+		client.WithDialer(checkeddial.New()),
 		client.WithDialTimeout(callTimeout),
 		client.WithClientReadTimeout(callTimeout),
 		client.WithWriteTimeout(callTimeout),
--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -11,9 +11,9 @@
 
 	"github.com/ansel1/merry/v2"
 	"github.com/cloudwego/hertz/pkg/app/client"
-	"github.com/cloudwego/hertz/pkg/network/standard"
 	"github.com/cloudwego/hertz/pkg/protocol"
 
+	"nickelline/internal/checkeddial"
 	"nickelline/internal/pause"
 )
 
@@ -56,7 +56,7 @@
 		return nil, merry.New("no node given: want the address of at least one that serves the control API")
 	}
 	h, err := client.NewClient(
-		client.WithDialer(standard.NewDialer()),
+		client.WithDialer(checkeddial.New()),
 		client.WithDialTimeout(attemptTimeout),
 		client.WithKeepAlive(false),
 	)
