Program in service: a malformed answer of discovery is no list

What callers saw: none were hit. The node took a list whose head had a malformed line, was of HTTP/2.0, or followed a malformed interim answer.

Cause: net/http's client reads with http.ReadResponse, as the node's connections to backends did.

Change: the client's connections check the heads (responsehead.Conn).

Status 000 was refused before: the list must have 200.

--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -12,6 +12,8 @@
 	"net/http"
 	"net/netip"
 	"time"
+
+	"nickelline/internal/responsehead"
 )
 
 const (
@@ -48,7 +50,17 @@
 
 func newDiscovery(addr netip.AddrPort, log *slog.Logger) *discovery {
 	return &discovery{address: addr, log: log, client: &http.Client{Transport: &http.Transport{
-		DialContext: (&net.Dialer{Timeout: dialTimeout}).DialContext, MaxConnsPerHost: 4, MaxIdleConnsPerHost: 2}}}
+		DialContext: dialDiscovery, MaxConnsPerHost: 4, MaxIdleConnsPerHost: 2}}}
+}
+
+// dialDiscovery connects to discovery. Responses with a malformed head fail on the connection.
+func dialDiscovery(ctx context.Context, network, address string) (net.Conn, error) {
+	dialer := net.Dialer{Timeout: dialTimeout}
+	conn, err := dialer.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return responsehead.NewConn(conn), nil
 }
 
 // call requests the list of backends with a query. It returns an error unless the response arrives in time and is
--- a/internal/node/discovery_test.go
+++ b/internal/node/discovery_test.go
@@ -193,3 +193,34 @@
 		t.Error("without GW_CONFIG: got no error")
 	}
 }
+
+// TestMalformedAnswerIsNoList guards against an answer of discovery whose head is malformed being taken for the list.
+func TestMalformedAnswerIsNoList(t *testing.T) {
+	t.Parallel()
+	list := jsonList(7, true, "ready", "127.0.0.1:1")
+	withLine := func(line string) string { return strings.Replace(list, "\r\n", "\r\n"+line, 1) }
+	for name, c := range map[string]struct {
+		text string
+		ok   bool
+	}{
+		"proper":             {list, true},
+		"after an interim":   {"HTTP/1.1 103 Early Hints\r\n\r\n" + list, true},
+		"blank in a name":    {withLine("X A: a\r\n"), false},
+		"blank after a name": {withLine("X-A : a\r\n"), false},
+		"folded line":        {withLine("X-A: a\r\n b\r\n"), false},
+		"status 000":         {strings.Replace(list, "200", "000", 1), false},
+		"status 000 before":  {"HTTP/1.1 000 x\r\n\r\n" + list, false},
+		"another version":    {strings.Replace(list, "HTTP/1.1", "HTTP/2.0", 1), false},
+		"malformed interim":  {"HTTP/1.1 103 Early Hints\r\nX A: a\r\n\r\n" + list, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			d := newDiscovery(startDiscovery(t, func(int, url.Values) string { return c.text }), discardLog)
+			for range 3 { // on one connection, if the answers are proper
+				if l, err := d.fetch(t.Context()); (err == nil) != c.ok {
+					t.Errorf("fetch: got %d backends, %v", len(l.entries), err)
+				}
+			}
+		})
+	}
+}
--- a/internal/responsehead/doc.go
+++ b/internal/responsehead/doc.go
@@ -17,6 +17,6 @@
 //
 //   - checker.go: the check of a head, line by line
 //   - framing.go: what a head says about where its body ends
-//   - reader.go: a connection whose responses are checked
+//   - reader.go, conn.go: reading responses that are checked, and a connection that does
 //   - malformed.go: what is wrong with a head
 package responsehead
