Metrics, log: malformed responses, by reason and backend

Proxies and stores count the responses that were dropped because their head is malformed (nickelline_malformed_answers_total, by reason), and log which backend they come from, with the line, at most once in 10 s for each backend.

--- a/cmd/nickelline/metrics.go
+++ b/cmd/nickelline/metrics.go
@@ -11,6 +11,7 @@
 	"nickelline/internal/admission"
 	"nickelline/internal/chain"
 	"nickelline/internal/control"
+	"nickelline/internal/forward"
 	"nickelline/internal/metrics"
 	"nickelline/internal/nodestate"
 	"nickelline/internal/peer"
@@ -119,6 +120,13 @@
 	w.Counter(name+"_count", total, labels...)
 }
 
+// senderMetrics returns a source of the metrics of the client of backends.
+func senderMetrics(sender *forward.Client) metrics.Source {
+	return func(w *metrics.Writer) {
+		writeCounts(w, "nickelline_malformed_answers_total", "reason", sender.MalformedResponses())
+	}
+}
+
 // proxyMetrics returns a source of the metrics of a proxy and of its quota leases.
 func proxyMetrics(p *proxy.Proxy, limiter *quota.Limiter) metrics.Source {
 	return func(w *metrics.Writer) {
--- a/cmd/nickelline/proxy.go
+++ b/cmd/nickelline/proxy.go
@@ -59,6 +59,7 @@
 	n.limiter.HandleAnnouncements(n.transport)
 	n.sender = forward.NewClient(forward.Options{
 		MaxConnections: int(backendDescriptorFraction * float64(p.settings.Limits.FileDescriptors)),
+		Log:            n.log,
 	})
 	n.state.OnBackends(n.sender.SetBackends)
 	n.proxy = proxy.New(clients, readiness, n.proxyOptions())
@@ -84,7 +85,7 @@
 // startServices starts all services of the node except serving clients. They stop when ctx ends or with shutDown.
 func (n *proxyNode) startServices(ctx context.Context, caught *signals) error {
 	n.start()
-	n.serveMetrics(poolMetrics(n.state), proxyMetrics(n.proxy, n.limiter))
+	n.serveMetrics(poolMetrics(n.state), senderMetrics(n.sender), proxyMetrics(n.proxy, n.limiter))
 	go n.sender.Run(ctx)
 	go n.loads.Run(ctx)
 	n.renewal = startLeaseRenewal(ctx, n.limiter)
--- a/cmd/nickelline/store.go
+++ b/cmd/nickelline/store.go
@@ -51,6 +51,7 @@
 	n.state = n.newState()
 	n.sender = forward.NewClient(forward.Options{
 		MaxConnections: int(storeDescriptorFraction * float64(p.settings.Limits.FileDescriptors)),
+		Log:            n.log,
 	})
 	n.state.OnBackends(n.sender.SetBackends)
 	if n.store, err = store.New(n.storeOptions()); err != nil {
@@ -89,7 +90,7 @@
 func (n *storeNode) startServices(ctx context.Context, caught *signals) error {
 	n.state.OnPlacement(n.store.SetPlacement)
 	n.start()
-	n.serveMetrics(poolMetrics(n.state), storeMetrics(n.store))
+	n.serveMetrics(poolMetrics(n.state), senderMetrics(n.sender), storeMetrics(n.store))
 	go n.sender.Run(ctx)
 	go n.loads.Run(ctx)
 	go n.store.Run(ctx)
--- a/internal/forward/client.go
+++ b/internal/forward/client.go
@@ -5,6 +5,8 @@
 	"context"
 	"time"
 
+	"go.uber.org/zap"
+
 	"nickelline/internal/discovery"
 	"nickelline/internal/upstream"
 )
@@ -35,12 +37,15 @@
 	// ConnectTimeout bounds the dialing of a connection; 200 ms if it is 0. A shorter timeout leaves more time to try another
 	// backend, a longer one tolerates slower machines and networks.
 	ConnectTimeout time.Duration
+	// Log receives an entry on malformed responses, at most one in 10 s for each backend; nil: nothing is logged.
+	Log *zap.Logger
 }
 
 // Client sends requests to backends over a pool of connections. It is safe for concurrent use.
 type Client struct {
 	pool           *upstream.Pool[string]
 	connectTimeout time.Duration
+	malformed      *malformedResponses
 }
 
 // NewClient returns a client. It closes idle connections in the background only while Run is running.
@@ -55,7 +60,11 @@
 		SweepInterval:  sweepInterval,
 		Dial:           dial,
 	})
-	return &Client{pool: pool, connectTimeout: cmp.Or(o.ConnectTimeout, defaultConnectTimeout)}
+	return &Client{
+		pool:           pool,
+		connectTimeout: cmp.Or(o.ConnectTimeout, defaultConnectTimeout),
+		malformed:      newMalformedResponses(o.Log),
+	}
 }
 
 // Run closes connections that have been idle for too long until ctx ends, and then closes all idle connections.
@@ -68,8 +77,12 @@
 		entries = append(entries, upstream.Entry[string]{Key: b.ID, Address: b.Address.String(), Ready: !b.Draining})
 	}
 	c.pool.Update(true, entries)
+	c.malformed.retain(list)
 }
 
+// MalformedResponses returns how many responses were malformed since the start, by reason: those of package responsehead.
+func (c *Client) MalformedResponses() map[string]uint64 { return c.malformed.counts() }
+
 // Do sends a request to a backend, and returns once the head of the response has been read. If the context ends before the
 // response is closed, the attempt is cancelled and the connection closed.
 func (c *Client) Do(ctx context.Context, b discovery.Backend, r *Request) (*Response, *Failure) {
--- a/internal/forward/doc.go
+++ b/internal/forward/doc.go
@@ -29,5 +29,5 @@
 //   - responsefields.go: fields that a response may have once, or not at all
 //   - response.go, serverload.go: a response, and the load that its backend reports
 //   - body.go, events.go: the body of a response, and the events of a stream
-//   - failure.go: why an attempt got no response
+//   - failure.go, malformed.go: why an attempt got no response, and counts of malformed ones
 package forward
--- a/internal/forward/roundtrip.go
+++ b/internal/forward/roundtrip.go
@@ -139,6 +139,7 @@
 // abort closes the connection of a request that was sent, and returns why as a Failure.
 func (rt *roundTrip) abort(err error) *Failure {
 	f := rt.failure(MayHaveRun, err)
+	rt.client.malformed.record(rt.backendID, err, time.Now())
 	f.TimedOut = !f.Cancelled && !time.Now().Before(rt.deadline)
 	rt.closeConn()
 	if f.TimedOut {
