--- a/internal/forward/unreliable_test.go
+++ b/internal/forward/unreliable_test.go
@@ -14,11 +14,11 @@
 	"nickelline/internal/standin"
 )
 
-// noFault is the greatest of the choices of an unreliableBackend; those above 6 are proper responses.
-const noFault = 11
+// noFault is the greatest of the choices of an unreliableBackend; those above 9 are proper responses.
+const noFault = 14
 
 // unreliableBackend responds with the faults of real backends: no response, a reset, half a response, a second response
-// after the first or late, the response to an earlier request, a response without a length. It records the requests that it
+// after the first or late, the response to an earlier request, a response without a length, a malformed response. It records the requests that it
 // was sent.
 type unreliableBackend struct {
 	discovery.Backend
@@ -98,10 +98,21 @@
 	case 6: // a response that only the end of the connection ends
 		send(socket, "HTTP/1.1 200 OK\r\n"+HeaderAttemptID+": "+id+"\r\n\r\n"+id)
 		return false
+	case 7: // a malformed line beside a promise
+		return send(socket, malformedResponseTo(id, "503 Full", "X b: v\r\n"))
+	case 8: // no status, and a proper response after it
+		return send(socket, malformedResponseTo(id, "000 x", "")+own)
+	case 9: // a malformed interim response before the proper one
+		return send(socket, "HTTP/1.1 100 Continue\r\nX b: v\r\n\r\n"+own)
 	}
 	return send(socket, own)
 }
 
+// malformedResponseTo returns a response to an attempt in which a promise, a body and an id must not be believed.
+func malformedResponseTo(id, status, field string) string {
+	return fmt.Sprintf("HTTP/1.1 %s\r\n%s: %s\r\n%s: 1\r\n%sContent-Length: 1\r\n\r\nx", status, HeaderAttemptID, id, HeaderNotExecuted, field)
+}
+
 // responseTo returns the response to an attempt, whose body is the attempt id.
 func responseTo(id string) string {
 	return fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: %d\r\n\r\n%s", HeaderAttemptID, id, len(id), id)
--- a/internal/soak/backends_test.go
+++ b/internal/soak/backends_test.go
@@ -101,7 +101,8 @@
 func (w *executionWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
 
 // recordExecutions records the requests that a backend executes. Some of the executed requests get no response, or a part
-// of it: the backend closes the connection. Others get a failure, and some failures and refusals are sent twice.
+// of it: the backend closes the connection. Others get a malformed response or a failure, and some failures and refusals are sent
+// twice.
 func recordExecutions(backend http.Handler, identifier string, record *record) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == healthPath || strings.HasPrefix(r.URL.Path, "/-/") {
@@ -122,7 +123,7 @@
 				})
 			}
 		}()
-		if !failOrRefuse(wrapped, r) {
+		if !sendMalformed(wrapped, r) && !failOrRefuse(wrapped, r) {
 			backend.ServeHTTP(wrapped, r)
 		}
 	})
--- a/internal/soak/client_test.go
+++ b/internal/soak/client_test.go
@@ -169,6 +169,9 @@
 	if err != nil {
 		return false, err
 	}
+	if strings.Contains(string(content), malformedText) || strings.HasPrefix(response.Header.Get(headerResponseSeal), malformedText) {
+		c.record.violation("MIXED: request %s got a malformed response from %s: %d %q %q", q.attempt, q.process.name, q.status, response.Header, content)
+	}
 	if response.StatusCode == http.StatusOK {
 		c.checkSuccess(q, response.Header, string(content), target, body, tokens)
 	}
--- a/internal/soak/doc.go
+++ b/internal/soak/doc.go
@@ -23,7 +23,7 @@
 //
 //   - soak_test.go: flags and the course of a run
 //   - tier_test.go, process_test.go: the machines, their settings, and the processes on them
-//   - backends_test.go, repeat_test.go: stand-ins that record executions, fail, and send some responses twice
+//   - backends_test.go, repeat_test.go, malformed_test.go: stand-ins that record executions, fail, and send some responses twice or malformed
 //   - client_test.go, batch_test.go, operator_test.go: those who use the tier
 //   - memory_test.go: the memory of the processes
 //   - faults_test.go, disks_test.go: the seeded faults of processes and of their disks
