Tokens and field values are checked in one place

responsehead, forward, proxy and batchapi each had their own check of tokens, and three of them one of field values. Package httpsyntax has both now; the sets of allowed bytes are the same as before, which its test checks byte by byte.

--- a/internal/batchapi/client.go
+++ b/internal/batchapi/client.go
@@ -10,6 +10,7 @@
 	"nickelline/internal/batch/deflated"
 	"nickelline/internal/configuration"
 	"nickelline/internal/fault"
+	"nickelline/internal/httpsyntax"
 	"nickelline/internal/peer"
 	"nickelline/internal/view"
 )
@@ -54,7 +55,7 @@
 // head whether it would accept the job, and sends the job only if so. A job that exceeds the quota is therefore not sent. Nor is
 // a job sent to a head that does not respond, because it would then be unknown whether the job was accepted.
 func (c *Client) Submit(ctx context.Context, tenant string, route *configuration.Route, job string, body []byte) error {
-	if !isToken(job) {
+	if !httpsyntax.IsToken(job) {
 		return fault.New(fault.BadRequest, "identifier %q of a batch job is not a token", job)
 	}
 	items, err := decodeSubmission(body)
--- a/internal/batchapi/submission.go
+++ b/internal/batchapi/submission.go
@@ -8,6 +8,7 @@
 
 	"nickelline/internal/batch"
 	"nickelline/internal/fault"
+	"nickelline/internal/httpsyntax"
 )
 
 // maxItems is the greatest number of items in one job.
@@ -57,7 +58,7 @@
 // check returns an error if the item cannot be sent as a request.
 func (i *submittedItem) check() error {
 	switch {
-	case !isToken(i.Identifier):
+	case !httpsyntax.IsToken(i.Identifier):
 		return fault.New(fault.BadRequest, "identifier %q of an item is not a token", i.Identifier)
 	case !strings.HasPrefix(i.Path, "/") || strings.ContainsFunc(i.Path, isControlOrSpace):
 		return fault.New(fault.BadRequest, "item %s: path %q is invalid", i.Identifier, i.Path)
@@ -65,23 +66,13 @@
 		return fault.New(fault.BadRequest, "item %s: tokenCount is negative", i.Identifier)
 	}
 	for name, value := range i.Headers {
-		if !isToken(name) || strings.ContainsFunc(value, isControl) {
+		if !httpsyntax.IsToken(name) || !httpsyntax.IsFieldValue(value) {
 			return fault.New(fault.BadRequest, "item %s: header %q is invalid", i.Identifier, name)
 		}
 	}
 	return nil
 }
 
-// isToken reports whether a text is valid as the name of a header field and as an unquoted value.
-func isToken(text string) bool {
-	const separators = `"(),/:;<=>?@[\]{}`
-	return text != "" && !strings.ContainsFunc(text, func(c rune) bool {
-		return isControlOrSpace(c) || strings.ContainsRune(separators, c)
-	})
-}
-
-func isControl(c rune) bool { return c < ' ' && c != '\t' || c == 0x7f }
-
 func isControlOrSpace(c rune) bool { return c <= ' ' || c >= 0x7f }
 
 // convert returns the item as it is stored, with its headers sorted by name.
--- a/internal/forward/encode.go
+++ b/internal/forward/encode.go
@@ -8,6 +8,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"nickelline/internal/httpsyntax"
 )
 
 const (
@@ -57,7 +59,7 @@
 
 // appendRequest appends a request in HTTP/1.1 format.
 func appendRequest(b *bytes.Buffer, backend string, r *Request, now time.Time) error {
-	if !validToken(r.Method) {
+	if !httpsyntax.IsToken(r.Method) {
 		return errInvalidMethod
 	}
 	if !validTarget(r.Target) {
@@ -122,7 +124,7 @@
 }
 
 func appendField(b *bytes.Buffer, name, value string) error {
-	if !validToken(name) || !validValue(value) {
+	if !httpsyntax.IsToken(name) || !httpsyntax.IsFieldValue(value) {
 		return errInvalidField
 	}
 	b.WriteString(name)
@@ -173,21 +175,6 @@
 	return header
 }
 
-// tokenSymbols holds the characters other than letters and digits that RFC 9110 allows in a token.
-const tokenSymbols = "!#$%&'*+-.^_`|~"
-
-// validToken reports whether text is a valid method or field name.
-func validToken(text string) bool {
-	for _, c := range []byte(text) {
-		letter := 'a' <= c|0x20 && c|0x20 <= 'z'
-		digit := '0' <= c && c <= '9'
-		if !letter && !digit && strings.IndexByte(tokenSymbols, c) < 0 {
-			return false
-		}
-	}
-	return text != ""
-}
-
 // validTarget reports whether text is valid as the target in a request line.
 func validTarget(text string) bool {
 	for _, c := range []byte(text) {
@@ -197,13 +184,3 @@
 	}
 	return strings.HasPrefix(text, "/")
 }
-
-// validValue reports whether text is a valid field value.
-func validValue(text string) bool {
-	for _, c := range []byte(text) {
-		if c < ' ' && c != '\t' || c == 0x7f {
-			return false
-		}
-	}
-	return true
-}
--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -12,6 +12,7 @@
 	"nickelline/internal/configuration"
 	"nickelline/internal/fault"
 	"nickelline/internal/forward"
+	"nickelline/internal/httpsyntax"
 )
 
 const (
@@ -99,7 +100,7 @@
 			continue
 		}
 		name, value, found := bytes.Cut(line, []byte{':'})
-		if !found || !isToken(name) || bytes.IndexByte(value, '\r') >= 0 {
+		if !found || !httpsyntax.IsToken(name) || bytes.IndexByte(value, '\r') >= 0 {
 			return nil, fault.New(fault.BadRequest, "header contains a malformed line")
 		}
 		key := textproto.CanonicalMIMEHeaderKey(string(name))
@@ -126,15 +127,6 @@
 	return text != "" && strings.Trim(text, "0123456789") == ""
 }
 
-func isToken(name []byte) bool {
-	for _, c := range name {
-		if c <= ' ' || c >= 0x7f || strings.IndexByte(`"(),/:;<=>?@[\]{}`, c) >= 0 {
-			return false
-		}
-	}
-	return len(name) > 0
-}
-
 // hasToken reports whether the values of a field, each a comma-separated list, contain a token.
 func hasToken(values []string, token string) bool {
 	for _, value := range values {
--- a/internal/responsehead/checker.go
+++ b/internal/responsehead/checker.go
@@ -3,7 +3,8 @@
 import (
 	"bytes"
 	"net/http"
-	"strings"
+
+	"nickelline/internal/httpsyntax"
 )
 
 // maxLineBytes bounds one line of a head.
@@ -101,7 +102,7 @@
 // checkStatusLine checks the first line of a head.
 func (c *Checker) checkStatusLine(line []byte) *MalformedError {
 	version, rest, _ := bytes.Cut(line, []byte{' '})
-	if !isVersion1(version) || !isText(rest) {
+	if !isVersion1(version) || !httpsyntax.IsFieldValue(rest) {
 		return malformed(StatusLine, line)
 	}
 	code, _, _ := bytes.Cut(bytes.TrimLeft(rest, " "), []byte{' '})
@@ -152,9 +153,9 @@
 	}
 	name, value, found := bytes.Cut(line, []byte{':'})
 	switch {
-	case !found || !isToken(name):
+	case !found || !httpsyntax.IsToken(name):
 		return malformed(FieldName, line)
-	case !isText(value):
+	case !httpsyntax.IsFieldValue(value):
 		return malformed(FieldValue, line)
 	case !c.framing.add(name, value), c.framing.isChunked && !c.hasCodings:
 		return malformed(Framing, line)
@@ -162,30 +163,6 @@
 	return nil
 }
 
-// tokenSymbols holds the bytes other than letters and digits that RFC 9110 section 5.6.2 allows in a token.
-const tokenSymbols = "!#$%&'*+-.^_`|~"
-
-// isToken reports whether text is a token.
-func isToken(text []byte) bool {
-	for _, c := range text {
-		letter := 'a' <= c|0x20 && c|0x20 <= 'z'
-		if !letter && !isDigit(c) && strings.IndexByte(tokenSymbols, c) < 0 {
-			return false
-		}
-	}
-	return len(text) > 0
-}
-
-// isText reports whether text has no control byte other than the tab.
-func isText(text []byte) bool {
-	for _, c := range text {
-		if c < ' ' && c != '\t' || c == 0x7f {
-			return false
-		}
-	}
-	return true
-}
-
 func isBlank(c byte) bool { return c == ' ' || c == '\t' }
 
 func isDigit(c byte) bool { return '0' <= c && c <= '9' }
