--- a/internal/proxy/malformed_response_test.go
+++ b/internal/proxy/malformed_response_test.go
@@ -18,6 +18,7 @@
 	{"blank after a name", "X-Strange : strange\r\n"},
 	{"control byte in a name", "X\x01Strange: strange\r\n"},
 	{"blank before a name", " X-Strange: strange\r\n"},
+	{"tab before a name", "\tX-Strange: strange\r\n"},
 	{"line feed before a name", "\nX-Strange: strange\r\n"},
 	{"chunks after a blank", "Transfer-Encoding : chunked\r\n"},
 }
@@ -147,6 +148,35 @@
 	}
 }
 
+// TestAmbiguousResponseDoesNotReachTheClient guards against a response being passed on that leaves open where its body ends or whose it is,
+// or whose body is not the backend's.
+func TestAmbiguousResponseDoesNotReachTheClient(t *testing.T) {
+	chunks := chunk(strangeBody) + lastChunk
+	const chunked = "Transfer-Encoding: chunked\r\n"
+	for name, text := range map[string]string{
+		"length beside chunks":             responseText(200, sealField+chunked, chunks),
+		"chunks of HTTP/1.0 beside length": strings.Replace(responseText(200, sealField+chunked, chunks), "HTTP/1.1", "HTTP/1.0", 1),
+		"two ids":                          responseText(200, sealField+"Nickelline-Attempt-Id: strange\r\n", strangeBody),
+		"two seals":                        responseText(200, sealField+"Nickelline-Response-Seal: strange\r\n", strangeBody),
+		"encoded body":                     responseText(200, sealField+"Content-Encoding: gzip\r\n", strangeBody),
+		"encoded stream":                   withField(streamHead, "Content-Encoding: gzip\r\n") + chunk("id: 1\ndata: strange\n\n") + lastChunk,
+		"promise with two ids":             responseText(503, notExecutedField+"Nickelline-Attempt-Id: strange\r\n", ""),
+		"promise with a length and chunks": responseText(503, notExecutedField+chunked, lastChunk),
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := startTestProxy(t, nil, startBackend(t, replyAndClose(text)), startBackend(t, okReply("b")))
+			a := s.post(t, "/once/x")
+			if a.StatusCode != http.StatusBadGateway {
+				t.Errorf("status: got %d with %q, want %d", a.StatusCode, a.body, http.StatusBadGateway)
+			}
+			expectNothingStrange(t, a)
+			if counts := s.requestCounts(); !slices.Equal(counts, []int{1, 0}) {
+				t.Errorf("requests by backend: got %v, want [1 0]", counts)
+			}
+		})
+	}
+}
+
 // TestMalformedResponseToHead is the same for a request whose response has no body.
 func TestMalformedResponseToHead(t *testing.T) {
 	for _, field := range malformedFields {
